Make watches anew in turn, not at random times

While the store drops its history, waiting watches hear nothing. The ten watches of the five entries that watch ended at random times, so none was made anew for up to 3.2 s (worked out with the same draw for 300 s), and one that was cut without a sign was noticed only 2 s after its end.

Ruled out: gossip and pulls (once one entry had the version, all had it within 60 ms); the other half of the watches (none was refused before 33.37 s).

--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -196,12 +197,14 @@
 // answer them, and some still watch where it answers nobody.
 func TestWatchers(t *testing.T) {
 	entries := cluster(t, 5)
-	await(t, "watchers", 3, entries[0].Watchers)
+	watchers := func(e *entry) func() int { return func() int { _, of := e.Turn(); return of } }
+	watches := func(e *entry) func() bool { return func() bool { place, _ := e.Turn(); return place >= 0 } }
+	await(t, "watchers", 3, watchers(entries[0]))
 	for i, e := range entries {
-		if e.Watches() {
+		if watches(e)() {
 			e.StoreAway(true)
-			await(t, "the next watcher", false, e.Watches)
-			await(t, "watchers", 3, entries[(i+1)%5].Watchers)
+			await(t, "the next watcher", false, watches(e))
+			await(t, "watchers", 3, watchers(entries[(i+1)%5]))
 			break
 		}
 	}
@@ -209,8 +212,18 @@
 		e.StoreAway(true)
 	}
 	for _, e := range entries {
-		await(t, "watchers without a store", 3, e.Watchers)
+		await(t, "watchers without a store", 3, watchers(e))
 	}
+	await(t, "places", []int{0, 1, 2}, func() []int {
+		var places []int
+		for _, e := range entries {
+			if place, _ := e.Turn(); place >= 0 {
+				places = append(places, place)
+			}
+		}
+		slices.Sort(places)
+		return places
+	})
 }
 
 // Demand and usage of all entries come together at the collectors, and the sum of
--- a/relay/exchanger/roster.go
+++ b/relay/exchanger/roster.go
@@ -24,13 +24,14 @@
 	e.gossip.Publish(keyAway+e.opts.Name, uint64(e.clock.Now()), value, true, awaySpan)
 }
 
-// Watches reports whether this entry watches the store for the others: the first
-// in rendezvous order of each zone does, and the first of all. Those that the store
-// does not answer are passed over.
-func (e *Exchanger) Watches() bool { return slices.Contains(e.watchers(), e.opts.Name) }
-
-// Watchers returns how many entries watch the store.
-func (e *Exchanger) Watchers() int { return len(e.watchers()) }
+// Turn returns this entry's place among those that watch the store for the others,
+// -1 if it is none of them, and how many they are: the first in rendezvous order of
+// each zone, and the first of all. Those that the store does not answer are passed
+// over.
+func (e *Exchanger) Turn() (place, of int) {
+	names := e.watchers()
+	return slices.Index(names, e.opts.Name), len(names)
+}
 
 func (e *Exchanger) watchers() []string {
 	var fit, stay []gossiper.Member
