Run suspects beyond one an upstream after the others

Cause: TestPoison, known red: 4 engines died, the bound is 3. (1) With 43 to 49 suspects before seven upstreams the second crash leaves seven suspects before six upstreams; two ran on one, so a third crash did not name the culprit (seen with 45, 47 and 48). (2) On a starved machine more requests were in flight at the first crash than the square of the upstreams left (50, 51, 55 and 64), for which the stated bound is four; the test had 3 fixed for 'some 25'.

Change: after a second crash, suspects beyond one an upstream wait for the others.

Ruled out: late reports (all came within 50 ms in the traced runs).

TestSuspectsBeyondOneAnUpstreamWait fails without the change.

--- a/decide/quarantiner/quarantiner.go
+++ b/decide/quarantiner/quarantiner.go
@@ -140,6 +140,7 @@
 	suspects Levels
 	reports  map[string]bool // by entry
 	judged   bool
+	judgedAt sequoiasill.Millis
 }
 
 // New returns the quarantiner of the named entry, which suspects nothing.
@@ -219,6 +220,11 @@
 		// Others were in flight at more crashes, so this one is hardly to blame.
 		return Placement{}
 	}
+	if wait := c.judgedAt + sequoiasill.Millis(rank/len(names))*q.opts.AwaitReports - now; top > 1 && wait > 0 {
+		// After a second crash few suspects are left. Those beyond one an upstream run
+		// after the others, so that the next crash has one of them only.
+		return Placement{Wait: max(wait, recheck)}
+	}
 	return Placement{Upstream: names[rank%len(names)]}
 }
 
@@ -335,7 +341,7 @@
 		if c.judged || waited < q.opts.Settle || !complete && waited < q.opts.AwaitReports {
 			continue
 		}
-		c.judged = true
+		c.judged, c.judgedAt = true, now
 		f, level, sole := topSuspect(c)
 		certain := complete && level >= 2 || level >= q.opts.CertainLevel
 		if sole && certain && !q.outage(c) {
--- a/decide/quarantiner/quarantiner_test.go
+++ b/decide/quarantiner/quarantiner_test.go
@@ -113,3 +113,43 @@
 		t.Error("an outage condemned a request")
 	}
 }
+
+// With as many suspects as the square of the upstreams left, the second crash leaves
+// one suspect more than there are upstreams then. It runs after the others, so that
+// no two are in flight at the third crash (seen as a fourth crash in TestPoison, with
+// 45 to 48 suspects before seven upstreams).
+func TestSuspectsBeyondOneAnUpstreamWait(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	q := New("entry", DefaultOptions())
+	suspects := []Fingerprint{1, 2, 3}
+	now := sequoiasill.Millis(0)
+	// Two crashes leave three suspects of level 2 before two upstreams.
+	for _, upstream := range []string{"gone", "a"} {
+		for _, f := range suspects {
+			q.Step(now, Started{Fingerprint: f, Upstream: upstream})
+		}
+		q.Step(now, Crashed{Upstream: upstream})
+		now += DefaultOptions().Settle
+		q.Step(now, Tick{})
+		now += 2 * DefaultOptions().Settle
+	}
+	now -= 2 * DefaultOptions().Settle
+	placed := make(map[string]int)
+	waiting := 0
+	for _, f := range suspects {
+		p := q.Place(now, f, names)
+		if p.Wait > 0 {
+			waiting++
+			continue
+		}
+		placed[p.Upstream]++
+	}
+	if waiting != 1 || placed["b"] != 1 || placed["c"] != 1 {
+		t.Errorf("%d wait, placed %v; one should wait and one run on each of b and c", waiting, placed)
+	}
+	for _, f := range suspects {
+		if p := q.Place(now+DefaultOptions().AwaitReports, f, names); p.Wait > 0 {
+			t.Errorf("suspect %d still waits after a turn", f)
+		}
+	}
+}
