Send callers of an ending entry elsewhere instead of looking for 4 s

Cause: TestAnswersSurviveNotice, known red: whole answers ended with 404. Callers that it had answered with 303 asked it again on connections that they had opened before; its ways to the other entries were closed, and after 4 s it said that there was no such request.

Ruled out: the taker (all 165 requests were taken over and went on), the balancer (the entry was not ready).

--- a/entry/dialer/dialer.go
+++ b/entry/dialer/dialer.go
@@ -15,6 +15,7 @@
 	"sequoiasill.dev/sequoiasill/decide/journaler"
 	"sequoiasill.dev/sequoiasill/entry/claimer"
 	"sequoiasill.dev/sequoiasill/entry/generator"
+	"sequoiasill.dev/sequoiasill/entry/locator"
 	"sequoiasill.dev/sequoiasill/entry/peerpb"
 	"sequoiasill.dev/sequoiasill/entry/syncer"
 	"sequoiasill.dev/sequoiasill/entry/translator"
@@ -32,8 +33,9 @@
 	clock       sequoiasill.Clock
 	credentials credentials.TransportCredentials
 
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn // by address
+	mu     sync.Mutex
+	conns  map[string]*grpc.ClientConn // by address
+	closed bool
 }
 
 // New returns a dialer.
@@ -45,6 +47,7 @@
 func (d *Dialer) Close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.closed = true
 	for _, c := range d.conns {
 		_ = c.Close()
 	}
@@ -56,6 +59,9 @@
 func (d *Dialer) peer(address string) (peerpb.PeerClient, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.closed {
+		return nil, locator.ErrEnding
+	}
 	c, ok := d.conns[address]
 	if !ok {
 		var err error
--- a/entry/handlers/completions.go
+++ b/entry/handlers/completions.go
@@ -140,9 +140,7 @@
 	id := job.Request.ID
 	switch {
 	case p.Moved:
-		ctx.Response.Header.Set("Location", "/v1/requests/"+string(id))
-		ctx.SetStatusCode(fasthttp.StatusSeeOther)
-		c.conclude(ctx, id, sequoiasill.MayHaveRun)
+		c.redirect(ctx, id)
 	case p.Failure != nil:
 		c.fail(ctx, id, p.Failure)
 	default:
--- a/entry/handlers/requests.go
+++ b/entry/handlers/requests.go
@@ -32,6 +32,11 @@
 // follow answers with a generation that runs or ran on any entry.
 func (c *Callers) follow(ctx *fasthttp.RequestCtx, org sequoiasill.Organisation, id sequoiasill.RequestID, stream bool, offset int) {
 	gen, ok := c.locator.Find(id, org.Name, offset)
+	if !ok && c.closing.Load() {
+		// This entry may have handed the request over and has no ways to others any more.
+		c.redirect(ctx, id)
+		return
+	}
 	if !ok {
 		c.fail(ctx, id, sequoiasill.NewFailure(sequoiasill.MayHaveRun, sequoiasill.CodeNotFound, 404, "no such request"))
 		return
@@ -39,3 +44,11 @@
 	stream = stream || strings.Contains(string(ctx.Request.Header.Peek("Accept")), "text/event-stream")
 	c.answer(ctx, gen, stream, offset)
 }
+
+// redirect sends the caller to the request's own address, where another entry
+// answers it.
+func (c *Callers) redirect(ctx *fasthttp.RequestCtx, id sequoiasill.RequestID) {
+	ctx.Response.Header.Set("Location", "/v1/requests/"+string(id))
+	ctx.SetStatusCode(fasthttp.StatusSeeOther)
+	c.conclude(ctx, id, sequoiasill.MayHaveRun)
+}
--- a/entry/locator/locator.go
+++ b/entry/locator/locator.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/gossiper"
 	"sequoiasill.dev/sequoiasill/decide/picker"
@@ -19,6 +21,9 @@
 	Members() []gossiper.Member
 }
 
+// ErrEnding is what a Follower yields on an entry that ends.
+const ErrEnding = errors.ConstError("this entry ends")
+
 // Follower opens answers on other entries. A nil mirror means that the entry
 // does not hold the request.
 type Follower interface {
@@ -73,7 +78,7 @@
 }
 
 // Find returns the organisation's answer with the id, from an offset in tokens
-// on. It waits a little for one that is being handed over.
+// on, from whichever entry holds it. It waits a little for one that is being handed over.
 func (l *Locator) Find(id sequoiasill.RequestID, organisation string, offset int) (*generator.Generation, bool) {
 	late := time.Now().Add(handOverSpan)
 	for {
@@ -81,11 +86,11 @@
 		if found && !gen.From(offset).Moved {
 			return gen, true
 		}
-		gen, moved := l.ask(id, organisation, offset)
+		gen, moved, ending := l.ask(id, organisation, offset)
 		if gen != nil {
 			return gen, true
 		}
-		if !found && !moved && l.settled(id) || time.Now().After(late) {
+		if ending || !found && !moved && l.settled(id) || time.Now().After(late) {
 			return nil, false
 		}
 		time.Sleep(lookEvery)
@@ -107,10 +112,12 @@
 type reply struct {
 	mirror *generator.Mirror
 	moved  bool
+	ending bool
 }
 
-// ask looks on the entry that made the id and on those that take over.
-func (l *Locator) ask(id sequoiasill.RequestID, organisation string, offset int) (gen *generator.Generation, moved bool) {
+// ask looks on the entry that made the id and on those that take over. Ending tells
+// that this entry has no ways to them any more.
+func (l *Locator) ask(id sequoiasill.RequestID, organisation string, offset int) (gen *generator.Generation, moved, ending bool) {
 	asked := l.candidates(id)
 	replies := make(chan reply, len(asked))
 	for _, m := range asked {
@@ -119,17 +126,18 @@
 			if err != nil {
 				mirror = nil
 			}
-			replies <- reply{mirror: mirror, moved: moved}
+			replies <- reply{mirror: mirror, moved: moved, ending: errors.Is(err, ErrEnding)}
 		}()
 	}
 	for range asked {
 		r := <-replies
 		if r.mirror != nil {
-			return r.mirror.Generation(), false
+			return r.mirror.Generation(), false, false
 		}
 		moved = moved || r.moved
+		ending = ending || r.ending
 	}
-	return nil, moved
+	return nil, moved, ending
 }
 
 func (l *Locator) candidates(id sequoiasill.RequestID) []gossiper.Member {
