Refuse requests that crash the upstreams that run them

Cause: the quarantine was not connected on the consortium platform; nothing kept the rule on requests that crash the replicas that run them.

Change: decide/blamer counts the upstreams that broke off under a request before they began to answer; a whole answer clears it. Entries tell charges to the collectors with their state, and a request with three is refused everywhere for two minutes, with a promise and the time to come back.

Weighed: the quarantiner of the product's own interface, which finds the culprit by intersection after two or three crashes, needs the reports of all entries on every crash and placing that waits 0.4 s; callers here give up after 0.6 s, and at 61 entries each of 13 crashes at once would bring 61 reports. A fixed count of three is within the platform's rule.

Tests: decide/blamer, TestCrashingRequestIsRefused, TestSilenceChargesNobody, TestCulpritReachesAll.

--- /dev/null
+++ b/decide/blamer/blamer_test.go
@@ -0,0 +1,114 @@
+package blamer_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/blamer"
+)
+
+const (
+	culprit blamer.Fingerprint = 7
+	other   blamer.Fingerprint = 8
+)
+
+func TestRefusedAfterThreeUpstreams(t *testing.T) {
+	second := sequoiasill.Second
+	tests := map[string]struct {
+		play func(b *blamer.Blamer)
+		want bool
+	}{
+		"three at this entry": {func(b *blamer.Blamer) {
+			b.Broke(0, culprit, 1)
+			b.Broke(second, culprit, 2)
+			b.Broke(2*second, culprit, 3)
+		}, true},
+		"three at three entries": {func(b *blamer.Blamer) {
+			b.Broke(0, culprit, 1)
+			b.Heard(second, "e2", []blamer.Charge{{Fingerprint: culprit, Upstream: 2, At: second}})
+			b.Heard(2*second, "e3", []blamer.Charge{{Fingerprint: culprit, Upstream: 3, At: 2 * second}})
+		}, true},
+		"two": {func(b *blamer.Blamer) {
+			b.Broke(0, culprit, 1)
+			b.Broke(second, culprit, 2)
+		}, false},
+		"the same upstream again": {func(b *blamer.Blamer) {
+			for i := range 5 {
+				b.Broke(sequoiasill.Millis(i)*second, culprit, 1)
+			}
+		}, false},
+		"an answer between": {func(b *blamer.Blamer) {
+			b.Broke(0, culprit, 1)
+			b.Broke(second, culprit, 2)
+			b.Answered(culprit)
+			b.Broke(2*second, culprit, 3)
+		}, false},
+		"an answer at another entry between": {func(b *blamer.Blamer) {
+			b.Heard(0, "e2", []blamer.Charge{{Fingerprint: culprit, Upstream: 1}, {Fingerprint: culprit, Upstream: 2}})
+			b.Heard(second, "e2", nil)
+			b.Broke(second, culprit, 3)
+		}, false},
+		"too far apart": {func(b *blamer.Blamer) {
+			b.Broke(0, culprit, 1)
+			b.Broke(20*second, culprit, 2)
+			b.Broke(40*second, culprit, 3)
+		}, false},
+		"others broke": {func(b *blamer.Blamer) {
+			b.Broke(0, culprit, 1)
+			b.Broke(0, other, 2)
+			b.Broke(0, other, 3)
+		}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := blamer.New(blamer.DefaultOptions())
+			tc.play(b)
+			_, refused := b.Refused(40*second, culprit)
+			if diff := cmp.Diff(tc.want, refused); diff != "" {
+				t.Errorf("refused (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A request that is found is told of once, and refused for its span only.
+func TestRefusalEnds(t *testing.T) {
+	b := blamer.New(blamer.DefaultOptions())
+	charges := []blamer.Charge{{Fingerprint: culprit, Upstream: 1}, {Fingerprint: culprit, Upstream: 2}, {Fingerprint: culprit, Upstream: 3}}
+	first := b.Heard(0, "e2", charges)
+	again := b.Heard(500, "e2", charges)
+	if diff := cmp.Diff([][]blamer.Fingerprint{{culprit}, nil}, [][]blamer.Fingerprint{first, again}); diff != "" {
+		t.Errorf("found at first and again (-want +got):\n%s", diff)
+	}
+	span := blamer.DefaultOptions().RefuseSpan
+	for at, want := range map[sequoiasill.Millis]bool{span - 1: true, span: false} {
+		if _, refused := b.Refused(at, culprit); refused != want {
+			t.Errorf("refused %t at %s, want %t", refused, at, want)
+		}
+	}
+}
+
+// A day on which upstreams lose answers: each request has its own fingerprint and is
+// tried twice, and its caller sends it once more. None is refused, and what is told
+// stays small.
+func TestLostAnswersBlameNobody(t *testing.T) {
+	opts := blamer.DefaultOptions()
+	b := blamer.New(opts)
+	for i := range 5000 {
+		now := sequoiasill.Millis(i * 10)
+		f := blamer.Fingerprint(i)
+		if i%3 == 0 {
+			b.Broke(now, f, uint64(i%9))
+			b.Broke(now+50, f, uint64(i%9+1))
+		}
+		b.Answered(f)
+		if n := len(b.Charges(now)); n > opts.MostCharges {
+			t.Fatalf("%d charges are told", n)
+		}
+	}
+	if got := b.Culprits(); len(got) > 0 {
+		t.Errorf("refused %v", got)
+	}
+}
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -107,6 +107,7 @@
 		t.end(registrar.Abandoned, "caller left")
 		return stop, "caller left"
 	}
+	t.broke(ctx)
 	t.end(registrar.Failed, "failed", "error", err, "cause", context.Cause(ctx))
 	return t.afterRun("upstream gave no answer")
 }
@@ -125,7 +126,7 @@
 		return
 	}
 	t.counted = true
-	t.d.usage.Began(t.account.Name)
+	t.d.peers.Began(t.account.Name)
 }
 
 // judge takes in an answer.
@@ -181,6 +182,7 @@
 		t.end(registrar.Failed, "error of the upstream", "status", a.Status)
 		return t.afterRun("error of the upstream")
 	}
+	t.answered()
 	t.end(registrar.Good, "answered", "status", a.Status, "bytes", len(body))
 	if err := t.reply.Whole(a.Status, a.Header, body); err != nil {
 		t.d.log.Info("answer not delivered", "request", t.call.ID, "error", err)
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/allotter"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
+	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 )
@@ -63,9 +64,12 @@
 	Cut()
 }
 
-// Usage counts the calls that began to run.
-type Usage interface {
+// Peers tells the other entries of what happens here.
+type Peers interface {
+	// Began counts a call that began to run.
 	Began(organisation string)
+	// Condemned tells of a request that crashes upstreams and is refused until a time.
+	Condemned(f blamer.Fingerprint, until sequoiasill.Millis)
 }
 
 // Meter counts what the dispatcher does.
@@ -104,12 +108,11 @@
 type Dispatcher struct {
 	opts    Options
 	courier Courier
-	usage   Usage
+	peers   Peers
 	meter   Meter
 	clock   sequoiasill.Clock
 	log     hclog.Logger
 	traffic atomic.Pointer[sequoiasill.Traffic]
-	running sync.WaitGroup
 	active  atomic.Int64
 	end     atomic.Int64 // when the entry ends, 0 while it stays
 
@@ -118,15 +121,16 @@
 	assigner  *assigner.Assigner
 	allotter  *allotter.Allotter
 	rationer  *rationer.Rationer
+	blamer    *blamer.Blamer
 	work      map[string]*work // by service
 }
 
 // New returns a dispatcher without traffic rules: it refuses calls until it is
 // given some.
-func New(opts Options, courier Courier, usage Usage, meter Meter, r *registrar.Registrar, a *assigner.Assigner, al *allotter.Allotter, ra *rationer.Rationer, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
+func New(opts Options, courier Courier, peers Peers, meter Meter, r *registrar.Registrar, a *assigner.Assigner, al *allotter.Allotter, ra *rationer.Rationer, b *blamer.Blamer, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
 	return &Dispatcher{
-		opts: opts, courier: courier, usage: usage, meter: meter, clock: clock, log: log.Named("dispatcher"),
-		registrar: r, assigner: a, allotter: al, rationer: ra, work: make(map[string]*work),
+		opts: opts, courier: courier, peers: peers, meter: meter, clock: clock, log: log.Named("dispatcher"),
+		registrar: r, assigner: a, allotter: al, rationer: ra, blamer: b, work: make(map[string]*work),
 	}
 }
 
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -17,6 +17,7 @@
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/allotter"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
+	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/relay/dispatcher"
@@ -109,9 +110,17 @@
 }
 func (r *reply) Cut() { r.Torn = true }
 
+// usage notes what the other entries are told.
 type usage struct {
-	mu    sync.Mutex
-	began map[string]int
+	mu        sync.Mutex
+	began     map[string]int
+	condemned []blamer.Fingerprint
+}
+
+func (u *usage) Condemned(f blamer.Fingerprint, _ sequoiasill.Millis) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.condemned = append(u.condemned, f)
 }
 
 func (u *usage) Began(organisation string) {
@@ -155,7 +164,7 @@
 		ration.Call(clock.Now(), "plain")
 	}
 	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, meter.New(), r, assigner.New(assigner.DefaultOptions(), 1),
-		allotter.New(allotter.Limits{Window: 1000}, 1, true), ration, clock, hclog.NewNullLogger())
+		allotter.New(allotter.Limits{Window: 1000}, 1, true), ration, blamer.New(blamer.DefaultOptions()), clock, hclog.NewNullLogger())
 	d.SetTraffic(traffic)
 	return d
 }
@@ -347,3 +356,47 @@
 		})
 	}
 }
+
+// A request under which upstreams break off is refused with a promise after the
+// third, whoever sends it again under whichever id; others are served on.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	c, u := &courier{steps: []step{{fail: true, verdict: sequoiasill.MayHaveRun}}}, &usage{began: make(map[string]int)}
+	d := newDispatcher(t, c, u)
+	d.Refuse(0, 0) // of another request
+	var statuses []int
+	for i := range 4 {
+		again := call("/read/x", "key")
+		again.ID, again.Body = fmt.Sprint(i), []byte("crash")
+		var got reply
+		d.Serve(context.Background(), again, &got)
+		statuses = append(statuses, got.Status)
+	}
+	if diff := cmp.Diff([]int{502, 502, 503, 503}, statuses); diff != "" {
+		t.Errorf("statuses (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]int{4, 1}, []int{len(c.attempts), len(u.condemned)}); diff != "" {
+		t.Errorf("attempts, requests told of (-want +got):\n%s", diff)
+	}
+	c.steps = []step{{status: 200, body: "good"}}
+	other := call("/read/x", "key")
+	other.Body = []byte("innocent")
+	var got reply
+	d.Serve(context.Background(), other, &got)
+	if got.Status != 200 {
+		t.Errorf("another request got %d", got.Status)
+	}
+}
+
+// Attempts that are ended here charge nobody: silence is given up, callers leave.
+func TestSilenceChargesNobody(t *testing.T) {
+	c, u := &courier{steps: []step{{hang: true}}}, &usage{began: make(map[string]int)}
+	d := newDispatcher(t, c, u)
+	for range 2 {
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(200*time.Millisecond, leave)
+		d.Serve(ctx, call("/read/x", "key"), &reply{})
+	}
+	if diff := cmp.Diff(0, len(d.Charges())); diff != "" {
+		t.Errorf("charges (-want +got):\n%s", diff)
+	}
+}
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -9,6 +9,7 @@
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
+	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 )
 
@@ -22,6 +23,7 @@
 	version  uint64 // of the traffic rules that decided
 	reply    Reply
 	deadline sequoiasill.Millis
+	print    blamer.Fingerprint
 
 	tried    map[string]bool
 	arrivals int // upstreams that the call reached
@@ -43,9 +45,7 @@
 // Serve carries a call to its answer. It returns when that is sent. The caller's
 // leaving ends ctx.
 func (d *Dispatcher) Serve(ctx context.Context, call *sequoiasill.Call, reply Reply) {
-	d.running.Add(1)
 	d.active.Add(1)
-	defer d.running.Done()
 	defer d.active.Add(-1)
 	j, failure := d.admit(call, reply)
 	if failure != nil {
@@ -99,6 +99,10 @@
 		return nil, sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeLeaving, http.StatusServiceUnavailable,
 			"entry ends in %s", end-d.clock.Now()).WithRetryAfter(leavingRetry)
 	}
+	j.print = fingerprint(call, j.account)
+	if failure := d.refusedAsCulprit(j); failure != nil {
+		return nil, failure
+	}
 	if wait, ok := d.allow(j); !ok {
 		return nil, sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeOverloaded, http.StatusTooManyRequests,
 			"allowance of %s is spent", j.account.Name).WithRetryAfter(wait)
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -33,6 +33,7 @@
 	a.Close(err == nil)
 	switch {
 	case err == nil:
+		t.answered()
 		t.end(registrar.Good, "streamed", "events", f.events, "first", f.first)
 		t.d.meter.Ended(t.route.Kind, "good", t.d.clock.Now()-t.call.Arrived)
 		if err := t.reply.End(); err != nil {
@@ -43,6 +44,9 @@
 		t.end(registrar.Abandoned, "caller left", "events", f.events)
 		return stop, "caller left"
 	}
+	if f.events == 0 {
+		t.broke(ctx)
+	}
 	t.end(registrar.Failed, "stream broke off", "events", f.events, "error", err, "cause", context.Cause(ctx))
 	return t.afterRun("stream broke off")
 }
--- a/relay/exchanger/codec.go
+++ b/relay/exchanger/codec.go
@@ -6,14 +6,16 @@
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/allotter"
+	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/tallier"
 )
 
 // State is what an entry tells the collectors of itself.
 type State struct {
-	Source string // the process, which differs at each start
-	Demand Demand
-	Tally  tallier.Tally
+	Source  string // the process, which differs at each start
+	Demand  Demand
+	Tally   tallier.Tally
+	Charges []blamer.Charge
 }
 
 // Demand is what callers ask of an entry each second.
@@ -25,9 +27,18 @@
 
 // wireState is a State. Fields are numbered, so that messages stay small.
 type wireState struct {
-	Source string                   `cbor:"1,keyasint"`
-	Demand wireDemand               `cbor:"2,keyasint"`
-	Tally  map[int64]map[string]int `cbor:"3,keyasint"`
+	Source  string                   `cbor:"1,keyasint"`
+	Demand  wireDemand               `cbor:"2,keyasint"`
+	Tally   map[int64]map[string]int `cbor:"3,keyasint"`
+	Charges []wireCharge             `cbor:"4,keyasint,omitempty"`
+}
+
+// wireCharge is a charge with its age, as entries' clocks differ.
+type wireCharge struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
+	Upstream    uint64
+	AgeMillis   int64
 }
 
 type wireDemand struct {
@@ -49,16 +60,19 @@
 	Born        int64  `cbor:"9,keyasint,omitempty"`
 }
 
-func encodeState(s State) ([]byte, error) {
+func encodeState(s State, now sequoiasill.Millis) ([]byte, error) {
 	w := wireState{Source: s.Source, Demand: toWireDemand(s.Demand), Tally: make(map[int64]map[string]int, len(s.Tally))}
 	for window, counts := range s.Tally {
 		w.Tally[window] = counts
 	}
+	for _, c := range s.Charges {
+		w.Charges = append(w.Charges, wireCharge{Fingerprint: uint64(c.Fingerprint), Upstream: c.Upstream, AgeMillis: int64(now - c.At)})
+	}
 	b, err := cbor.Marshal(w)
 	return b, errors.Annotate(err, "encode state")
 }
 
-func decodeState(b []byte) (State, error) {
+func decodeState(b []byte, now sequoiasill.Millis) (State, error) {
 	var w wireState
 	if err := cbor.Unmarshal(b, &w); err != nil {
 		return State{}, errors.Annotate(err, "decode state")
@@ -67,6 +81,11 @@
 	for window, counts := range w.Tally {
 		s.Tally[window] = counts
 	}
+	for _, c := range w.Charges {
+		s.Charges = append(s.Charges, blamer.Charge{
+			Fingerprint: blamer.Fingerprint(c.Fingerprint), Upstream: c.Upstream, At: now - sequoiasill.Millis(c.AgeMillis),
+		})
+	}
 	return s, nil
 }
 
--- a/relay/exchanger/demand.go
+++ b/relay/exchanger/demand.go
@@ -25,9 +25,10 @@
 func (e *Exchanger) tell() {
 	now := e.clock.Now()
 	demand := Demand{Totals: e.calls.Totals(), Work: e.calls.Work()}
+	charges := e.calls.Charges()
 	e.mu.Lock()
 	e.tallier.Forget(now)
-	b, err := encodeState(State{Source: e.opts.Name + "/" + e.opts.Session, Demand: demand, Tally: e.tallier.Own()})
+	b, err := encodeState(State{Source: e.opts.Name + "/" + e.opts.Session, Demand: demand, Tally: e.tallier.Own(), Charges: charges}, now)
 	e.version++
 	version := e.version
 	e.recent = append(e.recent, demand)
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -17,6 +17,7 @@
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/allotter"
+	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/gossiper"
 	"sequoiasill.dev/sequoiasill/decide/tallier"
 	"sequoiasill.dev/sequoiasill/entry/messenger"
@@ -30,6 +31,7 @@
 	keyDemand  = "demand/"  // and a collector: the demand of all entries that it knows of
 	keyHolder  = "holder"   // name of the entry that holds the duties
 	keyAway    = "away/"    // and an entry: whether the store does not answer it
+	keyCulprit = "culprit/" // and a fingerprint in hexadecimal: a request that crashes upstreams
 )
 
 const (
@@ -93,13 +95,17 @@
 	Remove(name string, revision uint64, source string)
 }
 
-// Calls tell the demand at this entry and take in that of the others.
+// Calls tell the demand at this entry and which requests upstreams broke off under,
+// and take in those of the others.
 type Calls interface {
 	Totals() allotter.Totals
 	Work() map[string]float64
 	SetEntries(n int)
 	SetTotals(source string, own, all allotter.Totals)
 	ForgetTotals()
+	Charges() []blamer.Charge
+	Charged(entry string, charges []blamer.Charge) map[blamer.Fingerprint]sequoiasill.Millis
+	Refuse(f blamer.Fingerprint, until sequoiasill.Millis)
 }
 
 // Options configure an Exchanger.
@@ -212,15 +218,6 @@
 	e.gossip.Leave()
 }
 
-// Members returns the names of the live entries, this one included.
-func (e *Exchanger) Members() []string {
-	var out []string
-	for _, m := range e.gossip.Members() {
-		out = append(out, m.Name)
-	}
-	return out
-}
-
 // Entries returns the number of live entries, this one included.
 func (e *Exchanger) Entries() int { return len(e.gossip.Members()) }
 
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -16,6 +16,7 @@
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/allotter"
+	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/tallier"
 	"sequoiasill.dev/sequoiasill/relay/exchanger"
 )
@@ -33,6 +34,7 @@
 	origin   []byte // what the store has, nil where it does not answer
 	fetches  atomic.Int64
 	all      allotter.Totals
+	blamer   *blamer.Blamer
 }
 
 func (e *entry) Current() ([]byte, uint64) {
@@ -80,7 +82,31 @@
 }
 func (e *entry) Work() map[string]float64 { return map[string]float64{"model": 100} }
 func (e *entry) SetEntries(int)           {}
-func (e *entry) ForgetTotals()            {}
+
+func (e *entry) Charges() []blamer.Charge {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.blamer.Charges(sequoiasill.NewSystemClock().Now())
+}
+
+func (e *entry) Charged(entry string, charges []blamer.Charge) map[blamer.Fingerprint]sequoiasill.Millis {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := make(map[blamer.Fingerprint]sequoiasill.Millis)
+	now := sequoiasill.NewSystemClock().Now()
+	for _, f := range e.blamer.Heard(now, entry, charges) {
+		out[f], _ = e.blamer.Refused(now, f)
+	}
+	return out
+}
+
+func (e *entry) Refuse(f blamer.Fingerprint, until sequoiasill.Millis) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.blamer.Refuse(f, until)
+}
+
+func (e *entry) ForgetTotals() {}
 func (e *entry) SetTotals(_ string, _, all allotter.Totals) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -109,7 +135,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		e := &entry{replicas: make(map[string]string), demand: map[string]float64{"small": float64(10 * (i + 1))}, spent: 7}
+		e := &entry{replicas: make(map[string]string), demand: map[string]float64{"small": float64(10 * (i + 1))}, spent: 7, blamer: blamer.New(blamer.DefaultOptions())}
 		name := fmt.Sprintf("e%d", i)
 		opts := exchanger.Options{Name: name, Session: "1", Zone: "a", Address: l.Addr().String(), Seeds: seeds, Fewest: 1}
 		tl := tallier.New(name+"/1", 5*sequoiasill.Second, 4)
@@ -268,3 +294,21 @@
 		}
 	}
 }
+
+// Upstreams that break off under one request at three entries, once each, make all
+// entries refuse it.
+func TestCulpritReachesAll(t *testing.T) {
+	entries := cluster(t, 5)
+	for i, e := range entries[2:] {
+		e.mu.Lock()
+		e.blamer.Broke(sequoiasill.NewSystemClock().Now(), 7, uint64(i))
+		e.mu.Unlock()
+	}
+	for _, e := range entries {
+		await(t, "refused", []blamer.Fingerprint{7}, func() []blamer.Fingerprint {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.blamer.Culprits()
+		})
+	}
+}
--- a/relay/exchanger/news.go
+++ b/relay/exchanger/news.go
@@ -1,9 +1,11 @@
 package exchanger
 
 import (
+	"strconv"
 	"strings"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/gossiper"
 )
 
@@ -27,6 +29,21 @@
 	e.gossip.Publish(keyReplica+name, revision, nil, true, replicaSpan)
 }
 
+// Condemned spreads that a request crashes upstreams and is refused until a time.
+func (e *Exchanger) Condemned(f blamer.Fingerprint, until sequoiasill.Millis) {
+	key := keyCulprit + strconv.FormatUint(uint64(f), 16)
+	e.gossip.Publish(key, uint64(until), nil, true, until-e.clock.Now())
+}
+
+func (e *Exchanger) learnCulprit(hex string, f gossiper.Fact) {
+	fp, err := strconv.ParseUint(hex, 16, 64)
+	if err != nil {
+		e.log.Warn("fact cannot be read", "key", f.Key, "error", err)
+		return
+	}
+	e.calls.Refuse(blamer.Fingerprint(fp), f.Expires)
+}
+
 // learn takes in a fact of another entry.
 func (e *Exchanger) learn(f gossiper.Fact) {
 	switch {
@@ -36,6 +53,8 @@
 		e.learnReplica(strings.TrimPrefix(f.Key, keyReplica), f)
 	case strings.HasPrefix(f.Key, keyState):
 		e.learnState(strings.TrimPrefix(f.Key, keyState), f)
+	case strings.HasPrefix(f.Key, keyCulprit):
+		e.learnCulprit(strings.TrimPrefix(f.Key, keyCulprit), f)
 	case strings.HasPrefix(f.Key, keyDemand):
 		e.learnDemand(strings.TrimPrefix(f.Key, keyDemand), f)
 	}
@@ -68,11 +87,14 @@
 }
 
 func (e *Exchanger) learnState(entry string, f gossiper.Fact) {
-	s, err := decodeState(f.Value)
+	s, err := decodeState(f.Value, e.clock.Now())
 	if err != nil {
 		e.log.Warn("fact cannot be read", "key", f.Key, "error", err)
 		return
 	}
+	for fp, until := range e.calls.Charged(entry, s.Charges) {
+		e.Condemned(fp, until)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.tallier.Merge(s.Source, s.Tally)
