Move services to other versions on operators' orders

Cause: orders (kind rollouts) were decoded and used for nothing: new versions got calls like old ones (EXPOSURE), and no status was written.

The dispatcher takes its decisions as one struct, the exchanger its handlers.

--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -80,26 +81,35 @@
 
 // Version returns the version that a request to a service goes to.
 func (s *Shifter) Version(svc sequoiasill.Service, id sequoiasill.RequestID) string {
+	m, to, moving := s.Split(svc.Name, id)
+	switch {
+	case !moving:
+		return svc.Version
+	case to:
+		return m.To
+	}
+	return m.From
+}
+
+// Split returns the move of a service, if there is one, and whether a request goes
+// to its new version.
+func (s *Shifter) Split(service string, id sequoiasill.RequestID) (m sequoiasill.Move, to, moving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, m := range s.moves {
-		if m.Service != svc.Name {
-			continue
-		}
-		status := s.statuses[m.Name]
-		if status.End == sequoiasill.MoveDone {
-			return m.To
-		}
-		_, braked := s.brakes[m.Name]
-		if status.End == sequoiasill.MoveTaken || braked {
-			return m.From
-		}
-		if int(xxhash.Sum64String(string(id))%scale) < status.Share {
-			return m.To
-		}
-		return m.From
+	i := slices.IndexFunc(s.moves, func(m sequoiasill.Move) bool { return m.Service == service })
+	if i < 0 {
+		return sequoiasill.Move{}, false, false
+	}
+	m = s.moves[i]
+	status := s.statuses[m.Name]
+	_, braked := s.brakes[m.Name]
+	switch {
+	case status.End == sequoiasill.MoveDone:
+		return m, true, true
+	case status.End == sequoiasill.MoveTaken || braked:
+		return m, false, true
 	}
-	return svc.Version
+	return m, int(xxhash.Sum64String(string(id))%scale) < status.Share, true
 }
 
 // Versions returns all versions of a service that may get traffic.
@@ -120,7 +130,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range s.moves {
-		if m.Service != service || version != m.From && version != m.To {
+		if m.Service != service || version != m.To && version != m.From && m.From != "" {
 			continue
 		}
 		t, ok := s.trials[m.Name]
--- a/move.go
+++ b/move.go
@@ -4,7 +4,7 @@
 type Move struct {
 	Name     string
 	Service  string
-	From     string
+	From     string // empty for every version but To
 	To       string
 	Start    Millis
 	Deadline Millis
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -36,6 +36,7 @@
 	choice  assigner.Choice
 	prefill int // tokens not yet counted off
 	began   sequoiasill.Millis
+	first   sequoiasill.Millis // from the begin to the first event, 0 before it
 	cancel  context.CancelCauseFunc
 }
 
@@ -78,7 +79,14 @@
 func (t *try) end(o registrar.Outcome, what string, args ...any) {
 	t.d.ended(t.choice, t.prefill, o)
 	t.prefill = 0
-	t.d.meter.Attempted(what, t.d.clock.Now()-t.began)
+	took := t.d.clock.Now() - t.began
+	t.d.meter.Attempted(what, took)
+	if o == registrar.Good || o == registrar.Failed {
+		if t.first > 0 {
+			took = t.first
+		}
+		t.d.moves.Record(t.service, t.route.Name, t.choice.Replica.Version, o == registrar.Failed, took)
+	}
 	if !t.d.log.IsInfo() {
 		return
 	}
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -72,6 +72,16 @@
 	Condemned(f blamer.Fingerprint, until sequoiasill.Millis)
 }
 
+// Versions divide the calls of services that move to another version.
+type Versions interface {
+	// Target returns the version that a service moves to and whether a call goes to it.
+	// It is empty where the service does not move.
+	Target(service, call string) (version string, to bool)
+	// Record takes in how a call at an upstream went, with the time to its answer or
+	// its first event.
+	Record(service, route, version string, failed bool, took sequoiasill.Millis)
+}
+
 // Meter counts what the dispatcher does.
 type Meter interface {
 	Refused(code sequoiasill.Code)
@@ -104,11 +114,21 @@
 	return Options{AnswerBytes: 4 << 20, Refusals: 4, GiveUpPart: 150, RetryAfter: 250, StreamSpan: 4 * sequoiasill.Second}
 }
 
+// Decisions are the state machines that a dispatcher drives.
+type Decisions struct {
+	Registrar *registrar.Registrar
+	Assigner  *assigner.Assigner
+	Allotter  *allotter.Allotter
+	Rationer  *rationer.Rationer
+	Blamer    *blamer.Blamer
+}
+
 // Dispatcher serves calls. It is safe for concurrent use.
 type Dispatcher struct {
 	opts    Options
 	courier Courier
 	peers   Peers
+	moves   Versions
 	meter   Meter
 	clock   sequoiasill.Clock
 	log     hclog.Logger
@@ -127,10 +147,10 @@
 
 // New returns a dispatcher without traffic rules: it refuses calls until it is
 // given some.
-func New(opts Options, courier Courier, peers Peers, meter Meter, r *registrar.Registrar, a *assigner.Assigner, al *allotter.Allotter, ra *rationer.Rationer, b *blamer.Blamer, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
+func New(opts Options, courier Courier, peers Peers, moves Versions, meter Meter, ds Decisions, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
 	return &Dispatcher{
-		opts: opts, courier: courier, peers: peers, meter: meter, clock: clock, log: log.Named("dispatcher"),
-		registrar: r, assigner: a, allotter: al, rationer: ra, blamer: b, work: make(map[string]*work),
+		opts: opts, courier: courier, peers: peers, moves: moves, meter: meter, clock: clock, log: log.Named("dispatcher"),
+		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, work: make(map[string]*work),
 	}
 }
 
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -171,12 +172,34 @@
 	}
 }
 
+// ofVersion returns the candidates of the version that the call goes to while its
+// service moves to another. A call that is to go to the new version goes to the old
+// one where the new one has no upstream, but never the other way round.
+func (d *Dispatcher) ofVersion(j *job, candidates []registrar.Candidate) []registrar.Candidate {
+	target, to := d.moves.Target(j.service, j.call.ID)
+	if target == "" {
+		return candidates
+	}
+	var old, next []registrar.Candidate
+	for _, c := range candidates {
+		if c.Replica.Version == target {
+			next = append(next, c)
+		} else {
+			old = append(old, c)
+		}
+	}
+	if to && slices.ContainsFunc(next, func(c registrar.Candidate) bool { return !j.tried[c.Replica.Name] }) {
+		return next
+	}
+	return old
+}
+
 // place chooses an upstream and counts the call there.
 func (d *Dispatcher) place(j *job) (assigner.Choice, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	candidates := d.registrar.Candidates(now, j.service)
+	candidates := d.ofVersion(j, d.registrar.Candidates(now, j.service))
 	choice, ok := d.assigner.Choose(assigner.Request{
 		Zone: d.opts.Zone, Engine: j.engine, Prompt: j.call.Prompt, Tried: j.tried,
 	}, candidates)
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -7,7 +7,6 @@
 
 	"github.com/juju/errors"
 
-	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 )
 
@@ -58,8 +57,7 @@
 	answer    *Answer
 	stopTimer func() bool
 	events    int
-	first     sequoiasill.Millis // from the attempt's begin to its first event
-	gone      bool               // the caller cannot be written to
+	gone      bool // the caller cannot be written to
 }
 
 // copy forwards until the stream ends, which yields nil, or breaks.
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -108,6 +108,20 @@
 	Refuse(f blamer.Fingerprint, until sequoiasill.Millis)
 }
 
+// Moves take in facts that concern version moves.
+type Moves interface {
+	Learn(f gossiper.Fact)
+}
+
+// Handlers are told what other entries know, and tell what this one knows.
+type Handlers struct {
+	Configs  Configs
+	Origin   Origin
+	Replicas Replicas
+	Calls    Calls
+	Moves    Moves
+}
+
 // Options configure an Exchanger.
 type Options struct {
 	Name    string // of the instance
@@ -127,6 +141,7 @@
 	replicas Replicas
 	calls    Calls
 	origin   Origin
+	moves    Moves
 	clock    sequoiasill.Clock
 	log      hclog.Logger
 	gossip   *messenger.Messenger
@@ -166,9 +181,9 @@
 }
 
 // New shares facts over conn and l until Close.
-func New(opts Options, conn net.PacketConn, l net.Listener, t *tallier.Tallier, configs Configs, replicas Replicas, calls Calls, origin Origin, clock sequoiasill.Clock, seed uint64, log hclog.Logger) *Exchanger {
+func New(opts Options, conn net.PacketConn, l net.Listener, t *tallier.Tallier, h Handlers, clock sequoiasill.Clock, seed uint64, log hclog.Logger) *Exchanger {
 	e := &Exchanger{
-		opts: opts, configs: configs, replicas: replicas, calls: calls, origin: origin, clock: clock, log: log.Named("exchanger"),
+		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, clock: clock, log: log.Named("exchanger"),
 		client: &http.Client{Timeout: pullTimeout}, wake: make(chan struct{}, 1), stop: make(chan struct{}),
 		tallier: t, demands: make(map[string]told), sums: make(map[string]told), spent: make(map[string]float64),
 	}
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -17,6 +17,7 @@
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/allotter"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
+	"sequoiasill.dev/sequoiasill/decide/gossiper"
 	"sequoiasill.dev/sequoiasill/decide/tallier"
 	"sequoiasill.dev/sequoiasill/relay/exchanger"
 )
@@ -35,6 +36,8 @@
 	fetches  atomic.Int64
 	all      allotter.Totals
 	blamer   *blamer.Blamer
+	facts    map[string]string // that concern moves
+	label    string
 }
 
 func (e *entry) Current() ([]byte, uint64) {
@@ -113,6 +116,13 @@
 	e.all = all
 }
 
+// Learn notes a fact that concerns moves.
+func (e *entry) Learn(f gossiper.Fact) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.facts[f.Key] = string(f.Value)
+}
+
 // spentByAll returns what this entry heard that all spent.
 func (e *entry) spentByAll() float64 {
 	e.mu.Lock()
@@ -135,11 +145,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		e := &entry{replicas: make(map[string]string), demand: map[string]float64{"small": float64(10 * (i + 1))}, spent: 7, blamer: blamer.New(blamer.DefaultOptions())}
+		e := &entry{replicas: make(map[string]string), demand: map[string]float64{"small": float64(10 * (i + 1))}, spent: 7, blamer: blamer.New(blamer.DefaultOptions()), facts: make(map[string]string)}
 		name := fmt.Sprintf("e%d", i)
+		e.label = name
 		opts := exchanger.Options{Name: name, Session: "1", Zone: "a", Address: l.Addr().String(), Seeds: seeds, Fewest: 1}
 		tl := tallier.New(name+"/1", 5*sequoiasill.Second, 4)
-		e.Exchanger = exchanger.New(opts, conn, l, tl, e, e, e, e, clock, uint64(i+1), hclog.NewNullLogger())
+		e.Exchanger = exchanger.New(opts, conn, l, tl, exchanger.Handlers{Configs: e, Origin: e, Replicas: e, Calls: e, Moves: e}, clock, uint64(i+1), hclog.NewNullLogger())
 		t.Cleanup(e.Close)
 		if i == 0 {
 			seeds = map[string]string{"first": l.Addr().String()}
@@ -312,3 +323,32 @@
 		})
 	}
 }
+
+// The status of a move reaches all entries, evidence the collectors only.
+func TestMovesAreTold(t *testing.T) {
+	entries := cluster(t, 5)
+	entries[0].Publish("move/a", 1, []byte("status"), true, sequoiasill.Minute)
+	for _, e := range entries {
+		e.TellCollectors("evidence/a/"+e.label, 1, []byte("counts"))
+	}
+	fact := func(e *entry, key string) func() string {
+		return func() string {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.facts[key]
+		}
+	}
+	for _, e := range entries[1:] {
+		await(t, "status", "status", fact(e, "move/a"))
+	}
+	for _, e := range entries {
+		for _, from := range entries {
+			if e != from && e.Rank() >= 0 {
+				await(t, "evidence", "counts", fact(e, "evidence/a/"+from.label))
+			}
+			if e != from && e.Rank() < 0 && fact(e, "evidence/a/"+from.label)() != "" {
+				t.Error("an entry that is no collector was told of evidence")
+			}
+		}
+	}
+}
--- a/relay/exchanger/news.go
+++ b/relay/exchanger/news.go
@@ -14,6 +14,16 @@
 	e.gossip.Publish(keyConfig, version, []byte(e.opts.Address), true, 0)
 }
 
+// Publish spreads a fact that concerns version moves. A span of 0 keeps it for good.
+func (e *Exchanger) Publish(key string, version uint64, value []byte, urgent bool, span sequoiasill.Millis) {
+	e.gossip.Publish(key, version, value, urgent, span)
+}
+
+// TellCollectors sends a fact that concerns version moves to the collectors only.
+func (e *Exchanger) TellCollectors(key string, version uint64, value []byte) {
+	e.gossip.Tell(e.collectors(), key, version, value)
+}
+
 // Announced spreads what an upstream announced.
 func (e *Exchanger) Announced(r sequoiasill.Replica) {
 	b, err := encodeReplica(r)
@@ -57,6 +67,8 @@
 		e.learnCulprit(strings.TrimPrefix(f.Key, keyCulprit), f)
 	case strings.HasPrefix(f.Key, keyDemand):
 		e.learnDemand(strings.TrimPrefix(f.Key, keyDemand), f)
+	case f.Key != keyHolder && !strings.HasPrefix(f.Key, keyAway):
+		e.moves.Learn(f)
 	}
 }
 
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -145,6 +145,14 @@
 	return s.write(kind, o).Metadata.Revision
 }
 
+// Get returns an object.
+func (s *Store) Get(kind, name string) (Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	return o, ok
+}
+
 // Delete removes an object as the platform does.
 func (s *Store) Delete(kind, name string) {
 	s.mu.Lock()
