Put changed settings in force, also without a signal

Cause: a changed settings file was read and checked at SIGHUP only, and nothing of it took effect; a change without a signal was not noticed.

Change: the file is looked at every 2 s and at SIGHUP. Faulty settings change nothing.

--- a/cmd/sequoia-edge/main.go
+++ b/cmd/sequoia-edge/main.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/hashicorp/go-hclog"
@@ -27,6 +28,8 @@
 		Enum("debug", "info", "warn", "error")
 	launcher.Parse(app)
 
+	// What changes from here on is noticed.
+	seen := newReloader(*path)
 	settings, faults, err := loader.Load(*path)
 	if err != nil {
 		faults = append(faults, err.Error())
@@ -34,19 +37,20 @@
 	launcher.Refuse(os.Stderr, faults)
 
 	spool := spooler.New(spooler.DefaultOptions(), os.Stdout)
-	code := run(settings, *path, signaller.Incoming(), newLog(spool, *level).With("entry", settings.Instance))
+	code := run(settings, seen, signaller.Incoming(), newLog(spool, *level).With("entry", settings.Instance))
 	spool.Close()
 	os.Exit(code)
 }
 
 // run serves until a request to terminate and returns the exit code.
-func run(s loader.Settings, path string, signals <-chan os.Signal, log hclog.Logger) int {
+func run(s loader.Settings, seen *reloader, signals <-chan os.Signal, log hclog.Logger) int {
 	r, err := runner.New(s, sequoiasill.NewSystemClock(), rand.Uint64(), log)
 	if err != nil {
 		log.Error("not started", "error", err)
 		return 1
 	}
-	wait(signals, log, path)
+	seen.target, seen.log = r, log
+	wait(signals, seen)
 	r.Stop()
 	return 0
 }
@@ -63,15 +67,28 @@
 	})
 }
 
-// wait returns at a request to terminate. A changed settings file is read and
-// checked at SIGHUP.
-func wait(signals <-chan os.Signal, log hclog.Logger, path string) {
-	for s := range signals {
-		log.Info("signal", "name", s.String())
-		if s != syscall.SIGHUP {
-			return
+// lookEvery is the interval at which the settings file is looked at: the platform may
+// change it without a signal.
+const lookEvery = 2 * time.Second
+
+// wait returns at a request to terminate. Changed settings are put in force at SIGHUP,
+// and soon after a change without it.
+func wait(signals <-chan os.Signal, r *reloader) {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case s := <-signals:
+			r.log.Info("signal", "name", s.String())
+			if s != syscall.SIGHUP {
+				return
+			}
+			r.changed()
+			r.reload()
+		case <-tick.C:
+			if r.changed() {
+				r.reload()
+			}
 		}
-		_, faults, err := loader.Load(path)
-		log.Info("settings read again", "faults", faults, "error", err)
 	}
 }
--- /dev/null
+++ b/cmd/sequoia-edge/reloader_test.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/platform/loader"
+)
+
+// taker notes the grace times that it is told.
+type taker struct{ graces []sequoiasill.Millis }
+
+func (t *taker) Reload(s loader.Settings) []string {
+	t.graces = append(t.graces, s.Bounds.Grace)
+	return nil
+}
+
+const sound = `
+nodeName = "e1"
+zone = "a"
+ip = "127.9.9.9"
+internalPortRange = [18500,18501]
+[listen]
+frontend = "127.9.9.9:18360"
+ready = "127.9.9.9:18365"
+[bounds]
+graceS = 3
+retryWindowS = 10
+quotaWindowS = 8
+usageWindowS = 5
+[platform]
+address = "127.9.9.9:1"
+[cloudApi]
+address = "127.9.9.9:1"
+`
+
+func TestReload(t *testing.T) {
+	second := sequoiasill.Second
+	changed := strings.Replace(sound, "graceS = 3", "graceS = 7", 1)
+	tests := map[string]struct {
+		file string // that takes the place of the first one, empty for none
+		hup  bool
+		want []sequoiasill.Millis
+	}{
+		"a change without a signal":  {changed, false, []sequoiasill.Millis{7 * second}},
+		"a change with a signal":     {changed, true, []sequoiasill.Millis{7 * second}},
+		"a signal without a change":  {sound, true, []sequoiasill.Millis{3 * second}},
+		"neither":                    {sound, false, nil},
+		"faulty settings":            {"zone = 3", true, nil},
+		"a file that is gone":        {"", false, nil},
+		"a setting out of its range": {strings.Replace(sound, "graceS = 3", "graceS = 0", 1), false, nil},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			path := filepath.Join(t.TempDir(), "settings")
+			if err := os.WriteFile(path, []byte(sound), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			target := &taker{}
+			signals := make(chan os.Signal)
+			ended := make(chan struct{})
+			r := newReloader(path)
+			r.target, r.log = target, hclog.NewNullLogger()
+			go func() {
+				defer close(ended)
+				wait(signals, r)
+			}()
+			replace(t, path, tc.file)
+			if tc.hup {
+				signals <- syscall.SIGHUP
+			}
+			time.Sleep(lookEvery + lookEvery/2)
+			signals <- syscall.SIGTERM
+			<-ended
+			if diff := cmp.Diff(tc.want, target.graces); diff != "" {
+				t.Errorf("grace times in force (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// replace puts a file in the place of another, or removes it.
+func replace(t *testing.T, path, text string) {
+	t.Helper()
+	if text == "" {
+		if err := os.Remove(path); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	next := path + ".next"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(next, path); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/decide/allotter/allotter.go
+++ b/decide/allotter/allotter.go
@@ -89,6 +89,9 @@
 	return &Allotter{limits: limits, entries: max(entries, 1), filled: filled, shares: make(map[string]*share)}
 }
 
+// SetLimits replaces what allowances may be exceeded by.
+func (a *Allotter) SetLimits(l Limits) { a.limits = l }
+
 // SetEntries tells the number of entries that share the allowances.
 func (a *Allotter) SetEntries(n int) { a.entries = max(n, 1) }
 
--- a/decide/rationer/rationer.go
+++ b/decide/rationer/rationer.go
@@ -44,6 +44,9 @@
 	return &Rationer{limits: limits, entries: max(entries, 1), rations: make(map[string]*ration)}
 }
 
+// SetLimits replaces the bound.
+func (r *Rationer) SetLimits(l Limits) { r.limits = l }
+
 // SetEntries tells the number of entries that share the bound.
 func (r *Rationer) SetEntries(n int) { r.entries = max(n, 1) }
 
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -186,6 +186,14 @@
 	d.allotter.SetEntries(n)
 }
 
+// SetLimits replaces the bounds of allowances and repeats.
+func (d *Dispatcher) SetLimits(allowances allotter.Limits, repeats rationer.Limits) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.allotter.SetLimits(allowances)
+	d.rationer.SetLimits(repeats)
+}
+
 // SetTotals tells the demand at all entries by one source, and what this entry's
 // own was in it.
 func (d *Dispatcher) SetTotals(source string, own, all allotter.Totals) {
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -227,6 +227,9 @@
 	})
 }
 
+// Seeds tells addresses of other entries by name, stale at times.
+func (e *Exchanger) Seeds(addresses map[string]string) { e.gossip.Seeds(addresses) }
+
 // Leave tells the others that this entry leaves.
 func (e *Exchanger) Leave() {
 	e.tell()
