--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -67,7 +67,6 @@
 	Others   float64            // calls of other entries at it, as far as reports tell
 	Waiting  float64            // calls in its queue by the last report, weighed by its age
 	Failures float64            // part of its recent calls that failed
-	Fresh    bool               // no call of this entry ended there yet
 	Age      sequoiasill.Millis // of the last report, -1 for none
 }
 
@@ -280,7 +279,7 @@
 const callPrior = 4
 
 func (s *state) candidate(now sequoiasill.Millis, opts Options) Candidate {
-	c := Candidate{Age: -1, Replica: s.replica, Own: s.own, Prefill: s.prefill, Fresh: s.calls == 0 && !s.reported}
+	c := Candidate{Age: -1, Replica: s.replica, Own: s.own, Prefill: s.prefill}
 	s.decay(now, opts.FailureSpan)
 	c.Failures = s.failures / (s.calls + callPrior)
 	if s.reported {
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -7,7 +7,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -383,12 +382,3 @@
 	b.WriteString("\r\n")
 	return b.Bytes()
 }
-
-// ReadBody reads an answer's body of up to limit bytes to its end.
-func (x *Exchange) ReadBody(limit int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(x.Response.Body, int64(limit)+1))
-	if err == nil && len(body) > limit {
-		err = errors.Errorf("answer is longer than %d bytes", limit)
-	}
-	return body, err
-}
--- a/relay/connector/connector_test.go
+++ b/relay/connector/connector_test.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return "", err
 	}
-	body, err := x.ReadBody(1 << 20)
+	body, err := io.ReadAll(x.Response.Body)
 	x.Close(err == nil)
 	return string(body), err
 }
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -92,7 +92,7 @@
 	}
 	t.d.log.Info("attempt", append([]any{
 		"request", t.call.ID, "route", t.route.Name, "config", t.version, "upstream", t.choice.Replica.Name,
-		"zone", t.choice.Replica.Zone, "cost", int(t.choice.Cost), "home", t.choice.Home, "candidates", t.choice.Choices, "reportAge", t.choice.Age,
+		"zone", t.choice.Replica.Zone, "cost", int(t.choice.Cost), "prefill", t.choice.Prefill, "home", t.choice.Home, "candidates", t.choice.Choices, "reportAge", t.choice.Age,
 		"took", t.d.clock.Now() - t.began, "end", what,
 	}, args...)...)
 }
