Draw refusals and latencies over time from logs; tell refusals' codes

Refusals are logged with their code, which groups them. explain leaves out what a process believed before the entry started anew (TestBeliefsAfterRestart fails without).

--- a/cmd/internal/explainer/explainer.go
+++ b/cmd/internal/explainer/explainer.go
@@ -102,8 +102,9 @@
 		}
 	}
 	last := make(map[string]Line)
+	started := startOf(s.Settled, lines)
 	for _, l := range lines {
-		if l.Entry != s.Settled.Entry || l.Time.After(s.Settled.Time) || l.Fields["request"] != nil {
+		if l.Entry != s.Settled.Entry || l.Time.Before(started) || l.Time.After(s.Settled.Time) || l.Fields["request"] != nil {
 			continue
 		}
 		key := ""
@@ -126,6 +127,18 @@
 	return out
 }
 
+// startOf returns when the process that wrote a line started, as far as its log tells:
+// what an earlier process believed is lost.
+func startOf(of Line, lines []Line) time.Time {
+	var at time.Time
+	for _, l := range lines {
+		if l.Entry == of.Entry && l.Message == "started" && !l.Time.After(of.Time) && l.Time.After(at) {
+			at = l.Time
+		}
+	}
+	return at
+}
+
 // Write prints a story.
 func (s Story) Write(w io.Writer) error {
 	var b strings.Builder
--- a/cmd/internal/explainer/explainer_test.go
+++ b/cmd/internal/explainer/explainer_test.go
@@ -45,6 +45,23 @@
 	}
 }
 
+// What a process believed is lost when the entry starts anew.
+func TestBeliefsAfterRestart(t *testing.T) {
+	restarted := strings.Replace(log, "not a line of the log",
+		`{"@timestamp":"2026-01-01T00:00:03.5Z","@message":"started","entry":"edge-a"}`, 1)
+	lines, err := explainer.Read(strings.NewReader(restarted))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, ok := explainer.Explain("r1", lines)
+	if !ok {
+		t.Fatal("request not found")
+	}
+	if diff := cmp.Diff(0, len(s.Beliefs)); diff != "" {
+		t.Errorf("beliefs of a process that has just started (-want +got):\n%s", diff)
+	}
+}
+
 func TestUnknownRequest(t *testing.T) {
 	if _, ok := explainer.Explain("r9", nil); ok {
 		t.Error("found a request that no line tells of")
--- /dev/null
+++ b/cmd/internal/plotter/plotter.go
@@ -0,0 +1,223 @@
+// Package plotter draws what the logs of several entries tell of a span of time: how
+// calls ended in each second, why they were refused, and how long answers took.
+package plotter
+
+import (
+	"image/color"
+	"io"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/juju/errors"
+	"gonum.org/v1/plot"
+	lines "gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"sequoiasill.dev/sequoiasill/cmd/internal/explainer"
+)
+
+// Ends of calls as they are drawn.
+const (
+	served  = "served"
+	refused = "refused"
+	failed  = "failed"
+	cut     = "cut"
+	left    = "caller left"
+)
+
+// ends maps the messages that end a call. An attempt ends one only if it was good.
+var ends = map[string]string{"refused": refused, "answered": failed, "stream cut": cut, "caller left": left}
+
+// good are the ends of attempts that serve a call.
+var good = []any{"answered", "streamed"}
+
+const (
+	longestMillis = 600_000
+	figures       = 2 // significant ones of latencies
+	width         = 24 * vg.Centimeter
+	height        = 28 * vg.Centimeter
+)
+
+// Chart is what was counted in each second since the first line.
+type Chart struct {
+	Ends     map[string]map[int]int // by end
+	Reasons  map[string]map[int]int // of refusals and failures
+	latency  map[int]*hdrhistogram.Histogram
+	Unplaced int // lines of calls without what is needed to count them
+}
+
+// Count counts the lines of several entries.
+func Count(log []explainer.Line) *Chart {
+	c := &Chart{Ends: make(map[string]map[int]int), Reasons: make(map[string]map[int]int), latency: make(map[int]*hdrhistogram.Histogram)}
+	if len(log) == 0 {
+		return c
+	}
+	first := slices.MinFunc(log, func(a, b explainer.Line) int { return a.Time.Compare(b.Time) }).Time
+	for _, l := range log {
+		if l.Fields["request"] == nil {
+			continue
+		}
+		second := int(l.Time.Sub(first).Seconds())
+		if l.Message == "attempt" && slices.Contains(good, l.Fields["end"]) {
+			c.took(second, l)
+			add(c.Ends, served, second)
+			continue
+		}
+		end, known := ends[l.Message]
+		if !known {
+			continue
+		}
+		add(c.Ends, end, second)
+		if reason, ok := reasonOf(l); ok && end != left {
+			add(c.Reasons, reason, second)
+		}
+	}
+	return c
+}
+
+// reasonOf returns the code of a refusal, or what a line tells otherwise.
+func reasonOf(l explainer.Line) (string, bool) {
+	if code, ok := l.Fields["code"].(string); ok {
+		return code, true
+	}
+	reason, ok := l.Fields["reason"].(string)
+	return reason, ok
+}
+
+func add(counts map[string]map[int]int, name string, second int) {
+	if counts[name] == nil {
+		counts[name] = make(map[int]int)
+	}
+	counts[name][second]++
+}
+
+// took notes the time to the answer, or to the first event of a stream.
+func (c *Chart) took(second int, l explainer.Line) {
+	millis, ok := l.Fields["first"].(float64)
+	if !ok {
+		millis, ok = l.Fields["took"].(float64)
+	}
+	if !ok {
+		c.Unplaced++
+		return
+	}
+	h := c.latency[second]
+	if h == nil {
+		h = hdrhistogram.New(1, longestMillis, figures)
+		c.latency[second] = h
+	}
+	if h.RecordValue(int64(min(max(millis, 1), longestMillis))) != nil {
+		c.Unplaced++
+	}
+}
+
+// Quantile returns a quantile in percent of the latencies of a second in milliseconds.
+func (c *Chart) Quantile(second int, percent float64) (millis int64, ok bool) {
+	h, ok := c.latency[second]
+	if !ok {
+		return 0, false
+	}
+	return h.ValueAtQuantile(percent), true
+}
+
+// mostReasons bounds the reasons that are drawn, the most frequent first.
+const mostReasons = 8
+
+// Draw writes the chart as SVG.
+func (c *Chart) Draw(w io.Writer) error {
+	byEnd, err := drawCounts("Calls by end", c.Ends, slices.Sorted(maps.Keys(c.Ends)))
+	if err != nil {
+		return err
+	}
+	byReason, err := drawCounts("Refused and failed calls by reason", c.Reasons, frequent(c.Reasons))
+	if err != nil {
+		return err
+	}
+	latency, err := c.drawLatency()
+	if err != nil {
+		return err
+	}
+	canvas := vgsvg.New(width, height)
+	plots := [][]*plot.Plot{{byEnd}, {byReason}, {latency}}
+	tiles := draw.Tiles{Rows: len(plots), Cols: 1, PadY: vg.Centimeter, PadRight: vg.Centimeter}
+	for i, cs := range plot.Align(plots, tiles, draw.New(canvas)) {
+		plots[i][0].Draw(cs[0])
+	}
+	_, err = canvas.WriteTo(w)
+	return errors.Annotate(err, "write chart")
+}
+
+// frequent returns the reasons that were told most.
+func frequent(reasons map[string]map[int]int) []string {
+	total := func(name string) int {
+		sum := 0
+		for _, n := range reasons[name] {
+			sum += n
+		}
+		return sum
+	}
+	names := slices.Sorted(maps.Keys(reasons))
+	slices.SortStableFunc(names, func(a, b string) int { return total(b) - total(a) })
+	return names[:min(len(names), mostReasons)]
+}
+
+func newPlot(title, unit string) *plot.Plot {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "seconds", unit
+	p.Legend.Top = true
+	p.Add(lines.NewGrid())
+	return p
+}
+
+func drawCounts(title string, counts map[string]map[int]int, names []string) (*plot.Plot, error) {
+	p := newPlot(title, "calls a second")
+	for i, name := range names {
+		var xys lines.XYs
+		last := slices.Max(slices.Collect(maps.Keys(counts[name])))
+		for second := range last + 1 {
+			xys = append(xys, lines.XY{X: float64(second), Y: float64(counts[name][second])})
+		}
+		if err := addLine(p, name, xys, plotutil.Color(i)); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func (c *Chart) drawLatency() (*plot.Plot, error) {
+	p := newPlot("Time to the answer or the first event", "milliseconds")
+	seconds := slices.Sorted(maps.Keys(c.latency))
+	for i, q := range []struct {
+		name    string
+		percent float64
+	}{{"half", 50}, {"95 in 100", 95}, {"99 in 100", 99}} {
+		var xys lines.XYs
+		for _, second := range seconds {
+			millis, _ := c.Quantile(second, q.percent)
+			xys = append(xys, lines.XY{X: float64(second), Y: math.Max(float64(millis), 1)})
+		}
+		if err := addLine(p, q.name, xys, plotutil.Color(i)); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func addLine(p *plot.Plot, name string, xys lines.XYs, c color.Color) error {
+	if len(xys) == 0 {
+		return nil
+	}
+	l, err := lines.NewLine(xys)
+	if err != nil {
+		return errors.Annotatef(err, "draw %s", name)
+	}
+	l.Color = c
+	p.Add(l)
+	p.Legend.Add(name, l)
+	return nil
+}
--- a/cmd/sequoiactl/explain.go
+++ b/cmd/sequoiactl/explain.go
@@ -17,13 +17,9 @@
 	id := cmd.Arg("id", "The request's id.").Required().String()
 	files := cmd.Arg("file", "Logs of entries.").Required().ExistingFiles()
 	return cmd.FullCommand(), func() int {
-		var lines []explainer.Line
-		for _, name := range *files {
-			read, err := readLog(name)
-			if err != nil {
-				return t.fail(exitFailed, err)
-			}
-			lines = append(lines, read...)
+		lines, err := readLogs(*files)
+		if err != nil {
+			return t.fail(exitFailed, err)
 		}
 		story, ok := explainer.Explain(*id, lines)
 		if !ok {
@@ -36,6 +32,19 @@
 	}
 }
 
+// readLogs reads the lines of all files.
+func readLogs(names []string) ([]explainer.Line, error) {
+	var out []explainer.Line
+	for _, name := range names {
+		lines, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, lines...)
+	}
+	return out, nil
+}
+
 func readLog(name string) ([]explainer.Line, error) {
 	f, err := os.Open(name)
 	if err != nil {
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -60,7 +60,7 @@
 
 func (d *Dispatcher) refuse(call *sequoiasill.Call, reply Reply, f *sequoiasill.Failure) {
 	d.meter.Refused(f.Code)
-	d.log.Info("refused", "request", call.ID, "status", f.Status, "reason", f.Message, "verdict", f.Verdict.String(),
+	d.log.Info("refused", "request", call.ID, "status", f.Status, "code", string(f.Code), "reason", f.Message, "verdict", f.Verdict.String(),
 		"retryAfter", f.RetryAfter, "after", d.clock.Now()-call.Arrived)
 	reply.Refuse(f)
 }
