Take the duties' lease over at the end of its length

A successor competed 1 s after its start and took the lease at the look after 4 s, so nobody could order upstreams before the store went.

Ruled out: a longer lease is not needed for the order of holders, as a holder comes back only after its successor's record stood for a length.

TestTakenOverAtTheEndOfItsLength fails without the change.

--- a/decide/leaser/leaser.go
+++ b/decide/leaser/leaser.go
@@ -190,12 +190,18 @@
 		}
 	case l.free(now):
 		return l.write(now, Record{Holder: l.self, Epoch: l.seen.Epoch + 1, Length: l.opts.Length})
-	case now-l.looked >= l.opts.Look:
+	case now-l.looked >= l.opts.Look || l.ripe(now):
 		return ReadRecord{}
 	}
 	return nil
 }
 
+// ripe reports whether the record stood for its full length but was not read again
+// since.
+func (l *Lease) ripe(now sequoiasill.Millis) bool {
+	return now-l.since >= l.seen.Length && l.looked-l.since < l.seen.Length
+}
+
 // free reports whether the lease can be taken: there is none, or the same record
 // stood for its full length since it was first seen here, and was read again
 // after that.
--- a/decide/leaser/leaser_test.go
+++ b/decide/leaser/leaser_test.go
@@ -149,3 +149,29 @@
 		t.Error("the successor waits although the lease was released")
 	}
 }
+
+// A lease whose holder died is taken over as soon as its record stood for its length,
+// not at the next look after that (seen on trouble-3 of the grown sleutelnet: all
+// processes were killed, and the store went away before anybody could order upstreams).
+func TestTakenOverAtTheEndOfItsLength(t *testing.T) {
+	opts := Options{Length: 3200, Margin: 800, Look: 2 * sequoiasill.Second}
+	l := New("next", opts)
+	dead := Record{Holder: "dead", Epoch: 4, Length: opts.Length}
+	for now := sequoiasill.Millis(1000); now < 10*sequoiasill.Second; now += 100 {
+		for a := l.Step(now, Tick{}); a != nil; {
+			switch w := a.(type) {
+			case ReadRecord:
+				a = l.Step(now, Read{Record: dead, Version: 9})
+			case WriteRecord:
+				if w.Record.Epoch != 5 {
+					t.Errorf("taken over under epoch %d", w.Record.Epoch)
+				}
+				if held := now - 1000; held > opts.Length+100 {
+					t.Errorf("taken over after %s, the length is %s", held, opts.Length)
+				}
+				return
+			}
+		}
+	}
+	t.Error("not taken over")
+}
