--- a/cmd/sequoia-edge/main_test.go
+++ b/cmd/sequoia-edge/main_test.go
@@ -1,4 +1,4 @@
-package main_test
+package main
 
 import (
 	"context"
--- a/cmd/sequoia-edge/reloader_test.go
+++ b/cmd/sequoia-edge/reloader_test.go
@@ -23,28 +23,9 @@
 	return nil
 }
 
-const sound = `
-nodeName = "e1"
-zone = "a"
-ip = "127.9.9.9"
-internalPortRange = [18500,18501]
-[listen]
-frontend = "127.9.9.9:18360"
-ready = "127.9.9.9:18365"
-[bounds]
-graceS = 3
-retryWindowS = 10
-quotaWindowS = 8
-usageWindowS = 5
-[platform]
-address = "127.9.9.9:1"
-[cloudApi]
-address = "127.9.9.9:1"
-`
-
 func TestReload(t *testing.T) {
 	second := sequoiasill.Second
-	changed := strings.Replace(sound, "graceS = 3", "graceS = 7", 1)
+	changed := strings.Replace(settings, "graceS = 3", "graceS = 7", 1)
 	tests := map[string]struct {
 		file string // that takes the place of the first one, empty for none
 		hup  bool
@@ -52,17 +33,17 @@
 	}{
 		"a change without a signal":  {changed, false, []sequoiasill.Millis{7 * second}},
 		"a change with a signal":     {changed, true, []sequoiasill.Millis{7 * second}},
-		"a signal without a change":  {sound, true, []sequoiasill.Millis{3 * second}},
-		"neither":                    {sound, false, nil},
+		"a signal without a change":  {settings, true, []sequoiasill.Millis{3 * second}},
+		"neither":                    {settings, false, nil},
 		"faulty settings":            {"zone = 3", true, nil},
 		"a file that is gone":        {"", false, nil},
-		"a setting out of its range": {strings.Replace(sound, "graceS = 3", "graceS = 0", 1), false, nil},
+		"a setting out of its range": {strings.Replace(settings, "graceS = 3", "graceS = 0", 1), false, nil},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			path := filepath.Join(t.TempDir(), "settings")
-			if err := os.WriteFile(path, []byte(sound), 0o600); err != nil {
+			if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 				t.Fatal(err)
 			}
 			target := &taker{}
--- a/platform/runner/need.go
+++ b/decide/estimator/estimator.go
@@ -1,4 +1,9 @@
-package runner
+// Package estimator tells how many upstreams of a service its load asks for.
+//
+// An Estimator is a state machine without I/O. It answers the load that rises and falls
+// within seconds, before upstreams that take seconds to start and break off long calls
+// when they are given back.
+package estimator
 
 import (
 	"math"
@@ -48,8 +53,9 @@
 	return int(math.Ceil(p.load / (float64(sequoiasill.Second) * part)))
 }
 
-// need is what a service's load asks for.
-type need struct {
+// Estimator follows the load of one service. Its zero value knows of none. It is not safe
+// for concurrent use.
+type Estimator struct {
 	since    sequoiasill.Millis
 	first    int                // upstreams at the start
 	loadedAt sequoiasill.Millis // since when there is load
@@ -57,39 +63,39 @@
 	recent   peak
 }
 
-// update takes in the stock and the load in milliseconds of engine time a second.
-func (n *need) update(now sequoiasill.Millis, zones map[string]scaler.Stock, load float64) {
-	if n.since == 0 {
-		n.since = now
+// Update takes in the stock and the load in milliseconds of engine time a second.
+func (e *Estimator) Update(now sequoiasill.Millis, zones map[string]scaler.Stock, load float64) {
+	if e.since == 0 {
+		e.since = now
 	}
-	if n.loadedAt == 0 {
+	if e.loadedAt == 0 {
 		// Upstreams may still announce themselves.
 		total := 0
 		for _, st := range zones {
 			total += max(st.Reclaimable, st.OnDemand)
 		}
-		n.first = max(n.first, total)
+		e.first = max(e.first, total)
 	}
-	if load > 0 && n.loadedAt == 0 {
-		n.loadedAt = now
+	if load > 0 && e.loadedAt == 0 {
+		e.loadedAt = now
 	}
-	n.held.update(now, holdSpan, load)
-	n.recent.update(now, recentSpan, load)
+	e.held.update(now, holdSpan, load)
+	e.recent.update(now, recentSpan, load)
 }
 
-// known reports whether enough is known to order upstreams.
-func (n *need) known(now sequoiasill.Millis) bool {
-	return n.first > 0 && now-n.since >= learnSpan
+// Known reports whether enough is known to order upstreams.
+func (e *Estimator) Known(now sequoiasill.Millis) bool {
+	return e.first > 0 && now-e.since >= learnSpan
 }
 
-// apply writes to v how many upstreams the load asks for.
-func (n *need) apply(now sequoiasill.Millis, v *scaler.View) {
-	v.Need = n.held.upstreams(usualLoad)
-	v.Bridge = n.recent.upstreams(waveLoad)
-	v.Floor = n.recent.upstreams(highestLoad)
-	if n.loadedAt == 0 || now-n.loadedAt < trustSpan {
-		v.Need = max(v.Need, n.first)
-		v.Floor = max(v.Floor, (n.first+1)/2)
+// Apply writes to v how many upstreams the load asks for.
+func (e *Estimator) Apply(now sequoiasill.Millis, v *scaler.View) {
+	v.Need = e.held.upstreams(usualLoad)
+	v.Bridge = e.recent.upstreams(waveLoad)
+	v.Floor = e.recent.upstreams(highestLoad)
+	if e.loadedAt == 0 || now-e.loadedAt < trustSpan {
+		v.Need = max(v.Need, e.first)
+		v.Floor = max(v.Floor, (e.first+1)/2)
 	}
 	v.Bridge = min(max(v.Bridge, v.Floor), v.Need)
 }
--- a/platform/runner/ingress.go
+++ b/relay/acceptor/acceptor.go
@@ -1,4 +1,7 @@
-package runner
+// Package acceptor serves callers over HTTP/1.1. It closes connections that were idle
+// for longer than the configuration in force allows, and ends so that no request that
+// was read goes without an answer.
+package acceptor
 
 import (
 	"context"
@@ -13,10 +16,8 @@
 	"sequoiasill.dev/sequoiasill"
 )
 
-// Limits of callers' connections that hold until a configuration tells others.
 const (
 	defaultHeaderWait = 3 * sequoiasill.Second
-	defaultIdle       = 15 * sequoiasill.Second
 	defaultHeader     = 16 << 10 // bytes
 	// headerSlack is for the request line and the header's own framing.
 	headerSlack = 4 << 10
@@ -30,11 +31,9 @@
 // callerKeepAlive finds callers that went silent without closing.
 var callerKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
-// ingress is the HTTP server for callers. It closes connections that were idle for
-// longer than the configuration in force allows, and all idle ones when the entry
-// ends. It never closes one from which a request was read: net/http takes a
-// connection for idle until it has read a whole header.
-type ingress struct {
+// Acceptor is the HTTP server for callers. It never closes a connection from which a
+// request was read: net/http takes one for idle until it has read a whole header.
+type Acceptor struct {
 	server   *http.Server
 	listener net.Listener
 	idle     func() sequoiasill.Millis
@@ -45,42 +44,42 @@
 	leaving bool
 }
 
-// newIngress serves callers on l until shutdown.
-func newIngress(l net.Listener, h http.Handler, idle func() sequoiasill.Millis, log hclog.Logger) *ingress {
-	in := &ingress{listener: l, idle: idle, log: log.Named("ingress"), conns: make(map[*callerConn]bool)}
-	in.server = &http.Server{
-		Handler: in.closing(h), ReadHeaderTimeout: defaultHeaderWait.Duration(), IdleTimeout: longestIdle.Duration(),
-		MaxHeaderBytes: defaultHeader + headerSlack, ConnState: in.stateChanged,
+// New serves callers on l until Shutdown. Idle tells how long a connection may be idle.
+func New(l net.Listener, h http.Handler, idle func() sequoiasill.Millis, log hclog.Logger) *Acceptor {
+	a := &Acceptor{listener: l, idle: idle, log: log.Named("acceptor"), conns: make(map[*callerConn]bool)}
+	a.server = &http.Server{
+		Handler: a.closing(h), ReadHeaderTimeout: defaultHeaderWait.Duration(), IdleTimeout: longestIdle.Duration(),
+		MaxHeaderBytes: defaultHeader + headerSlack, ConnState: a.stateChanged,
 		ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	go func() {
-		err := in.server.Serve(&callerListener{Listener: l, in: in})
-		in.mu.Lock()
-		defer in.mu.Unlock()
-		if !in.leaving {
-			in.log.Error("serving callers ended", "error", err)
+		err := a.server.Serve(&callerListener{Listener: l, acceptor: a})
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if !a.leaving {
+			a.log.Error("serving callers ended", "error", err)
 		}
 	}()
-	return in
+	return a
 }
 
 // closing makes answers the last of their connections while the entry leaves.
-func (in *ingress) closing(h http.Handler) http.Handler {
+func (a *Acceptor) closing(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if in.isLeaving() {
+		if a.isLeaving() {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, req)
 	})
 }
 
-func (in *ingress) isLeaving() bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	return in.leaving
+func (a *Acceptor) isLeaving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.leaving
 }
 
-func (in *ingress) stateChanged(c net.Conn, s http.ConnState) {
+func (a *Acceptor) stateChanged(c net.Conn, s http.ConnState) {
 	k, ok := c.(*callerConn)
 	if !ok {
 		return
@@ -92,40 +91,40 @@
 		k.timer = nil
 	}
 	if s == http.StateIdle {
-		k.timer = time.AfterFunc(in.idle().Duration(), func() { k.closeIdle() })
+		k.timer = time.AfterFunc(a.idle().Duration(), func() { k.closeIdle() })
 	}
 	k.mu.Unlock()
-	if s == http.StateIdle && in.isLeaving() {
+	if s == http.StateIdle && a.isLeaving() {
 		// Its answer began before the entry left and did not say that it was the last.
 		k.closeIdle()
 	}
 	if s == http.StateClosed || s == http.StateHijacked {
-		in.mu.Lock()
-		delete(in.conns, k)
-		in.mu.Unlock()
+		a.mu.Lock()
+		delete(a.conns, k)
+		a.mu.Unlock()
 	}
 }
 
-// lastAnswers takes no further connection, closes the idle ones and makes every
+// LastAnswers takes no further connection, closes the idle ones and makes every
 // answer the last of its connection.
-func (in *ingress) lastAnswers() {
-	in.mu.Lock()
-	in.leaving = true
-	in.mu.Unlock()
-	if err := in.listener.Close(); err != nil {
-		in.log.Warn("listener not closed", "error", err)
+func (a *Acceptor) LastAnswers() {
+	a.mu.Lock()
+	a.leaving = true
+	a.mu.Unlock()
+	if err := a.listener.Close(); err != nil {
+		a.log.Warn("listener not closed", "error", err)
 	}
-	in.closeIdle()
+	a.closeIdle()
 }
 
 // closeIdle closes the idle connections and returns how many are left.
-func (in *ingress) closeIdle() int {
-	in.mu.Lock()
-	conns := make([]*callerConn, 0, len(in.conns))
-	for k := range in.conns {
+func (a *Acceptor) closeIdle() int {
+	a.mu.Lock()
+	conns := make([]*callerConn, 0, len(a.conns))
+	for k := range a.conns {
 		conns = append(conns, k)
 	}
-	in.mu.Unlock()
+	a.mu.Unlock()
 	left := 0
 	for _, k := range conns {
 		if !k.closeIdle() {
@@ -135,18 +134,18 @@
 	return left
 }
 
-// shutdown waits for the requests in progress, up to the span.
-func (in *ingress) shutdown(span sequoiasill.Millis) {
+// Shutdown waits for the requests in progress, up to the span.
+func (a *Acceptor) Shutdown(span sequoiasill.Millis) {
 	end := time.Now().Add(span.Duration())
-	for left := in.closeIdle(); left > 0; left = in.closeIdle() {
+	for left := a.closeIdle(); left > 0; left = a.closeIdle() {
 		if time.Now().After(end) {
-			in.log.Warn("requests are still in progress", "connections", left)
+			a.log.Warn("requests are still in progress", "connections", left)
 			break
 		}
 		time.Sleep(closeEvery)
 	}
-	if err := in.server.Close(); err != nil {
-		in.log.Debug("server not closed", "error", err)
+	if err := a.server.Close(); err != nil {
+		a.log.Debug("server not closed", "error", err)
 	}
 }
 
@@ -154,7 +153,7 @@
 type callerListener struct {
 	net.Listener
 
-	in *ingress
+	acceptor *Acceptor
 }
 
 // Accept implements net.Listener.
@@ -164,9 +163,9 @@
 		return nil, err
 	}
 	k := &callerConn{Conn: c}
-	l.in.mu.Lock()
-	l.in.conns[k] = true
-	l.in.mu.Unlock()
+	l.acceptor.mu.Lock()
+	l.acceptor.conns[k] = true
+	l.acceptor.mu.Unlock()
 	return k, nil
 }
 
@@ -219,8 +218,8 @@
 	return true
 }
 
-// listen opens a TCP listener for callers.
-func listen(address string) (net.Listener, error) {
+// Listen opens a TCP listener that finds callers that went silent.
+func Listen(address string) (net.Listener, error) {
 	lc := net.ListenConfig{KeepAliveConfig: callerKeepAlive}
 	l, err := lc.Listen(context.Background(), "tcp", address)
 	return l, errors.Annotatef(err, "listen on %s", address)
--- a/relay/connector/fuzz_test.go
+++ b/relay/connector/fuzz_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -54,7 +55,7 @@
 			body, err := io.ReadAll(x.Response.Body)
 			x.Close(err == nil)
 			cancel()
-			if i > 0 && err == nil && x.Response.StatusCode == 200 && !strings.HasPrefix(string(body), "answer ") {
+			if i > 0 && err == nil && x.Response.StatusCode == http.StatusOK && !strings.HasPrefix(string(body), "answer ") {
 				t.Errorf("request %d got %q", i, body)
 			}
 		}
