--- a/cmd/internal/plotter/plotter.go
+++ b/cmd/internal/plotter/plotter.go
@@ -39,8 +39,9 @@
 const (
 	longestMillis = 600_000
 	figures       = 2 // significant ones of latencies
-	width         = 24 * vg.Centimeter
-	height        = 28 * vg.Centimeter
+	padding       = 0.4 * vg.Inch
+	width         = 10 * vg.Inch
+	height        = 11 * vg.Inch
 )
 
 // Chart is what was counted in each second since the first line.
@@ -144,7 +145,7 @@
 	}
 	canvas := vgsvg.New(width, height)
 	plots := [][]*plot.Plot{{byEnd}, {byReason}, {latency}}
-	tiles := draw.Tiles{Rows: len(plots), Cols: 1, PadY: vg.Centimeter, PadRight: vg.Centimeter}
+	tiles := draw.Tiles{Rows: len(plots), Cols: 1, PadY: padding, PadRight: padding}
 	for i, cs := range plot.Align(plots, tiles, draw.New(canvas)) {
 		plots[i][0].Draw(cs[0])
 	}
