End a restart in the soak when another fault has started the process again

The entries served on all the while; no promise broke.

Change: a restart waits for the process that was signalled, and starts nothing where another fault already has.

--- a/standin/soaker/entry.go
+++ b/standin/soaker/entry.go
@@ -99,29 +99,30 @@
 	return nil
 }
 
-// signal sends a signal to the process if it runs. One that is ready has to end
-// cleanly when it is asked to stop; one that has just been started may not have
-// reached its first instruction.
-func (e *entry) signal(s syscall.Signal) {
+// signal sends a signal to the process if it runs, and returns a channel that is closed
+// when that process is gone. One that is ready has to end cleanly when it is asked to
+// stop; one that has just been started may not have reached its first instruction.
+func (e *entry) signal(s syscall.Signal) (gone <-chan struct{}) {
 	clean := s == syscall.SIGTERM && e.isReady()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stopping = e.stopping || clean
 	// A process that has ended meanwhile needs no signal.
 	_ = e.process.Signal(s)
-}
-
-// gone returns a channel that is closed when the process is gone.
-func (e *entry) gone() <-chan struct{} {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	return e.ended
 }
 
-// restart starts the process again after it is gone.
-func (e *entry) restart(after time.Duration) {
-	<-e.gone()
+// restart starts a process again a while after it is gone, unless another fault has
+// done so.
+func (e *entry) restart(gone <-chan struct{}, after time.Duration) {
+	<-gone
 	time.Sleep(after)
+	e.mu.Lock()
+	restarted := e.ended != gone
+	e.mu.Unlock()
+	if restarted {
+		return
+	}
 	if err := e.start(); err != nil {
 		e.world.judge.broken("entry %d not started: %v", e.number, err)
 	}
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -20,7 +20,7 @@
 // faults are all that may come, each as likely as the others.
 var faults = []fault{
 	{"stop an entry", true, func(w *World, _ time.Duration) {
-		w.withEntry(func(e *entry) { e.signal(syscall.SIGTERM); e.restart(0) })
+		w.withEntry(func(e *entry) { e.restart(e.signal(syscall.SIGTERM), 0) })
 	}},
 	{"reload an entry", true, func(w *World, _ time.Duration) { w.withEntry(func(e *entry) { e.signal(syscall.SIGHUP) }) }},
 	{"change a key", true, (*World).changeKey},
@@ -32,15 +32,16 @@
 	}},
 	{"replace a replica", true, (*World).replaceReplica},
 	{"kill an entry", false, func(w *World, _ time.Duration) {
-		w.withEntry(func(e *entry) { e.signal(syscall.SIGKILL); e.restart(300 * time.Millisecond) })
+		w.withEntry(func(e *entry) { e.restart(e.signal(syscall.SIGKILL), 300*time.Millisecond) })
 	}},
 	{"kill all entries", false, func(w *World, _ time.Duration) {
+		var gone []<-chan struct{}
 		for _, e := range w.entries {
-			e.signal(syscall.SIGKILL)
+			gone = append(gone, e.signal(syscall.SIGKILL))
 		}
 		time.Sleep(200 * time.Millisecond)
-		for _, e := range w.entries {
-			w.withOne("entry", e.number, func() { e.restart(0) })
+		for i, e := range w.entries {
+			w.withOne("entry", e.number, func() { e.restart(gone[i], 0) })
 		}
 	}},
 	{"pause an entry", false, func(w *World, span time.Duration) {
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -133,12 +133,13 @@
 }
 
 func (w *World) stopEntries() {
+	var gone []<-chan struct{}
 	for _, e := range w.entries {
 		e.signal(syscall.SIGCONT)
-		e.signal(syscall.SIGKILL)
+		gone = append(gone, e.signal(syscall.SIGKILL))
 	}
-	for _, e := range w.entries {
-		<-e.gone()
+	for i, e := range w.entries {
+		<-gone[i]
 		e.store.close()
 	}
 }
