Send requests that crash replicas in the soak

Twenty sends of one request over six seconds, each under its own id and at any entry; each resets all connections of the replica that it reaches. Later than 3 s after the third crash it may reach a replica three times (the platform's rule), and as often again after each kill of all entries, who then know nothing of it.

--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -59,16 +59,11 @@
 	j.send(id, k, key)
 	ctx, cancel := context.WithTimeout(context.Background(), callerSpan+time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.entry.callers()+kinds[k]+id, strings.NewReader("body"))
+	req, err := c.request(ctx, id, key, kinds[k]+id, "body")
 	if err != nil {
 		j.broken("request not made: %v", err)
 		return
 	}
-	req.GetBody = nil // a call is sent once under its id
-	req.Host = host
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Authorization", "Bearer "+key)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(callerSpan.Milliseconds()))
 	resp, err := c.client.Do(req)
 	if err != nil {
 		j.answered(id, 0, err)
@@ -86,6 +81,41 @@
 	}
 }
 
+// request makes a request of a call, which is sent once under its id.
+func (c *caller) request(ctx context.Context, id, key, path, body string) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.entry.callers()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	req.Host = host
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(callerSpan.Milliseconds()))
+	return req, nil
+}
+
+// sendOnce sends one request over a connection of its own. Nothing is owed for it.
+func (c *caller) sendOnce(path, body string) {
+	j, key := c.world.judge, c.world.key()
+	j.send(c.name, once, key)
+	ctx, cancel := context.WithTimeout(context.Background(), callerSpan)
+	defer cancel()
+	req, err := c.request(ctx, c.name, key, path, body)
+	if err != nil {
+		j.broken("request not made: %v", err)
+		return
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		j.answered(c.name, 0, err)
+		return
+	}
+	_ = resp.Body.Close()
+	j.answered(c.name, resp.StatusCode, nil)
+}
+
 // check compares a whole success with what the call must get.
 func (c *caller) check(id string, k kind, body string) {
 	want := "answer to " + id
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -34,7 +34,7 @@
 	{"kill an entry", false, func(w *World, _ time.Duration) {
 		w.withEntry(func(e *entry) { e.restart(e.signal(syscall.SIGKILL), 300*time.Millisecond) })
 	}},
-	{"kill all entries", false, func(w *World, _ time.Duration) {
+	{killAll, false, func(w *World, _ time.Duration) {
 		var gone []<-chan struct{}
 		for _, e := range w.entries {
 			gone = append(gone, e.signal(syscall.SIGKILL))
@@ -60,6 +60,7 @@
 			}
 		})
 	}},
+	{"send a request that crashes replicas", false, (*World).sendCrashing},
 	{"reset a replica's connections", false, func(w *World, _ time.Duration) { w.withReplica(func(r *replica) { r.proxy.reset() }) }},
 	{"delay a replica", false, func(w *World, span time.Duration) { w.harmReplica(delay, span) }},
 	{"silence a replica", false, func(w *World, span time.Duration) { w.harmReplica(silence, span) }},
@@ -186,6 +187,23 @@
 	})
 }
 
+// sendCrashing sends a request that crashes the replicas that run it again and again,
+// each time under another id and at any entry.
+func (w *World) sendCrashing(time.Duration) {
+	const sends, pause = 20, 300 * time.Millisecond
+	w.mu.Lock()
+	w.made++
+	n := w.made
+	w.mu.Unlock()
+	for i := range sends {
+		c := &caller{world: w, name: fmt.Sprintf("crash-%d-%d", n, i), entry: w.readyEntry(w.draw(len(w.entries)))}
+		if c.entry != nil {
+			c.sendOnce(crashPath, fmt.Sprintf("crash %d", n))
+		}
+		time.Sleep(pause)
+	}
+}
+
 // changeKey adds a key, and drops the one before once callers use the new one.
 func (w *World) changeKey(time.Duration) {
 	w.withOne("key", 0, func() {
--- a/standin/soaker/judge.go
+++ b/standin/soaker/judge.go
@@ -38,6 +38,7 @@
 	faults    []string
 	revoked   map[string]time.Time // keys, by when the store had the configuration without them
 	leaving   map[string]time.Time // upstreams, by when the store showed that they drain
+	crashes   map[string]*crashes  // by the body of the request under which upstreams crash
 	active    int                  // unplanned faults in progress
 	lastFault time.Time            // end of the last one
 	counts    Counts
@@ -51,7 +52,7 @@
 
 func newJudge() *judge {
 	return &judge{
-		calls: make(map[string]*record), revoked: make(map[string]time.Time), leaving: make(map[string]time.Time),
+		calls: make(map[string]*record), revoked: make(map[string]time.Time), leaving: make(map[string]time.Time), crashes: make(map[string]*crashes),
 		counts: Counts{Events: make(map[string]int)},
 	}
 }
@@ -164,6 +165,43 @@
 	}
 }
 
+const (
+	// crashSpan is the time from the third crash under a request within which all
+	// entries refuse it, and mostCrashes how often it may still reach an upstream later.
+	crashSpan   = 3 * time.Second
+	mostCrashes = 3
+	killAll     = "kill all entries"
+)
+
+// crashes are those under one request.
+type crashes struct {
+	count int
+	third time.Time
+	late  int // later than crashSpan after the third
+}
+
+// crash notes that an upstream crashes under a request. Entries that are all killed
+// know nothing of it any more.
+func (j *judge) crash(body string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c := j.crashes[body]
+	if c == nil {
+		c = &crashes{}
+		j.crashes[body] = c
+	}
+	c.count++
+	if c.count == 3 {
+		c.third = time.Now()
+	}
+	if c.count > 3 && time.Since(c.third) > crashSpan {
+		c.late++
+	}
+	if most := mostCrashes * (1 + j.counts.Events[killAll]); c.late > most {
+		j.fail("%s reached an upstream %d times later than %s after its third crash", body, c.late, crashSpan)
+	}
+}
+
 func (j *judge) revoke(key string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -75,6 +76,20 @@
 	r.state = "draining"
 }
 
+// crashPath is the path of requests that crash the replicas that run them.
+var crashPath = kinds[once] + "crash"
+
+// crash resets all connections, those of other calls too, as the end of a process does.
+func (r *replica) crash(req *http.Request) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		r.judge.broken("request that crashes replicas not read: %v", err)
+		return
+	}
+	r.judge.crash(string(body))
+	r.proxy.reset()
+}
+
 // pieces returns the number of events of a call's stream.
 func pieces(id string) int {
 	h := fnv.New32a()
@@ -98,6 +113,10 @@
 	}
 	defer r.active.Add(-1)
 	r.judge.run(id, r.id, req.Header.Get("Tenant"))
+	if req.URL.Path == crashPath {
+		r.crash(req)
+		return
+	}
 	time.Sleep(rand.N(20 * time.Millisecond))
 	switch draw := rand.Int64N(1000); {
 	case draw < r.lose.Load():
