Ask TestRefusalEnds for refusals in the order of time

Cause: the test walked over a map, so in some runs it asked at the end of the refusal before it asked just before the end. The refusal is forgotten once it has ended, and time went back. The blamer is right; its callers' time does not go back.

The same two points are checked with the same results; only their order is fixed.

--- a/decide/blamer/blamer_test.go
+++ b/decide/blamer/blamer_test.go
@@ -83,10 +83,14 @@
 		t.Errorf("found at first and again (-want +got):\n%s", diff)
 	}
 	span := blamer.DefaultOptions().RefuseSpan
-	for at, want := range map[sequoiasill.Millis]bool{span - 1: true, span: false} {
-		if _, refused := b.Refused(at, culprit); refused != want {
-			t.Errorf("refused %t at %s, want %t", refused, at, want)
-		}
+	// Time must not go back, so the order matters.
+	var refused []bool
+	for _, at := range []sequoiasill.Millis{span - 1, span} {
+		_, r := b.Refused(at, culprit)
+		refused = append(refused, r)
+	}
+	if diff := cmp.Diff([]bool{true, false}, refused); diff != "" {
+		t.Errorf("refused just before and at the end (-want +got):\n%s", diff)
 	}
 }
 
