Log and count why calls are sent once more; sum repeats up over entries

What was missing: the users saw repeats beyond their bound, and our logs could not tell late arrivals from shares of the wrong size, sends that were not charged or another part of the rule. Nothing that decides is changed.

Now: an attempt tells its service, the upstreams that the call came to, and whether it was given up without an answer; each wish to repeat is a line with the state of the ration and the number of entries that the bound is shared by; the number's changes are logged; repeats are counted by service, also those that were not allowed.

--- /dev/null
+++ b/cmd/internal/explainer/repeats_test.go
@@ -0,0 +1,40 @@
+package explainer_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/cmd/internal/explainer"
+	"sequoiasill.dev/sequoiasill/decide/auditor"
+)
+
+// r1 is given up at one upstream and answered by the next; r2 finds one that cannot be
+// reached first, which is no send; r3 may not be repeated.
+const repeatsLog = `{"@timestamp":"2026-01-01T00:00:02Z","@message":"attempt","entry":"a","request":"r1","service":"model","took":1000,"end":"given up"}
+{"@timestamp":"2026-01-01T00:00:02Z","@message":"repeat","entry":"a","request":"r1","service":"model","allowed":true,"entries":9}
+{"@timestamp":"2026-01-01T00:00:03Z","@message":"attempt","entry":"a","request":"r1","service":"model","took":500,"end":"streamed"}
+{"@timestamp":"2026-01-01T00:00:03Z","@message":"attempt","entry":"b","request":"r2","service":"model","took":10,"end":"not sent"}
+{"@timestamp":"2026-01-01T00:00:03Z","@message":"attempt","entry":"b","request":"r2","service":"model","took":10,"end":"streamed"}
+{"@timestamp":"2026-01-01T00:00:04Z","@message":"attempt","entry":"b","request":"r3","service":"model","took":10,"end":"error of the upstream"}
+{"@timestamp":"2026-01-01T00:00:04Z","@message":"repeat","entry":"b","request":"r3","service":"model","allowed":false,"entries":6}
+`
+
+func TestFindRepeats(t *testing.T) {
+	lines, err := explainer.Read(strings.NewReader(repeatsLog))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	if err := explainer.FindRepeats(lines).Write(&b, auditor.Bound{Ratio: 0.2, Window: 10 * sequoiasill.Second}); err != nil {
+		t.Fatal(err)
+	}
+	want := `model: 3 requests, 1 repeats allowed, 1 not allowed, 1 attempts given up, bound shared by 6 to 9 entries
+model: worst window from 23:59:52.501: 1 repeats sent, 0.2 allowed for 1 requests
+`
+	if diff := cmp.Diff(want, b.String()); diff != "" {
+		t.Errorf("repeats (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/decide/auditor/auditor_test.go
@@ -0,0 +1,89 @@
+package auditor_test
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/auditor"
+)
+
+const second = sequoiasill.Second
+
+var bound = auditor.Bound{Ratio: 0.2, Slack: 3, Window: 10 * second}
+
+// requests notes requests a second apart, and that each arrives at once.
+func requests(a *auditor.Auditor, n int) {
+	for i := range n {
+		at := sequoiasill.Millis(i) * second
+		a.Requested(at, "model")
+		a.Arrived(at, "model", strconv.Itoa(i))
+	}
+}
+
+// repeats notes that the first request came once more at each of the times.
+func repeats(a *auditor.Auditor, times ...sequoiasill.Millis) {
+	for _, at := range times {
+		a.Arrived(at, "model", "0")
+	}
+}
+
+func TestWorst(t *testing.T) {
+	tests := map[string]struct {
+		play func(a *auditor.Auditor)
+		want []auditor.Window
+	}{
+		"no repeat": {func(a *auditor.Auditor) { requests(a, 20) }, nil},
+		"within the bound": {func(a *auditor.Auditor) {
+			requests(a, 10)
+			repeats(a, 9000, 9100, 9200, 9300)
+		}, []auditor.Window{{Service: "model", Begin: 9000, End: 19_000, Requests: 9, Repeats: 4, Allowed: 4.8}}},
+		"one beyond it": {func(a *auditor.Auditor) {
+			requests(a, 10)
+			repeats(a, 9000, 9100, 9200, 9300, 9300)
+		}, []auditor.Window{{Service: "model", Begin: 9000, End: 19_000, Requests: 9, Repeats: 5, Allowed: 4.8}}},
+		"the requests of the window before count": {func(a *auditor.Auditor) {
+			requests(a, 10)
+			repeats(a, 12_000, 12_000, 12_000, 12_000, 12_000)
+		}, []auditor.Window{{Service: "model", Begin: 12_000, End: 22_000, Requests: 8, Repeats: 5, Allowed: 4.6}}},
+		"those two windows before do not": {func(a *auditor.Auditor) {
+			requests(a, 10)
+			repeats(a, 31_000, 31_000, 31_000, 31_000)
+		}, []auditor.Window{{Service: "model", Begin: 31_000, End: 41_000, Repeats: 4, Allowed: 3}}},
+		"repeats over more than a window": {func(a *auditor.Auditor) {
+			requests(a, 10)
+			repeats(a, 1000, 1000, 1000, 12_000, 12_000, 12_000)
+		}, []auditor.Window{{Service: "model", Begin: -8999, End: 1001, Requests: 2, Repeats: 3, Allowed: 3.4}}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := auditor.New()
+			tc.play(a)
+			if diff := cmp.Diff(tc.want, a.Worst(bound)); diff != "" {
+				t.Errorf("worst windows (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestServicesAreApart(t *testing.T) {
+	a := auditor.New()
+	for _, service := range []string{"plain", "model"} {
+		a.Requested(0, service)
+		for range 3 {
+			a.Arrived(0, service, "1")
+		}
+	}
+	if diff := cmp.Diff(4, a.Repeats()); diff != "" {
+		t.Errorf("repeats (-want +got):\n%s", diff)
+	}
+	want := []auditor.Window{
+		{Service: "model", End: 10 * second, Requests: 1, Repeats: 2, Allowed: 3.2},
+		{Service: "plain", End: 10 * second, Requests: 1, Repeats: 2, Allowed: 3.2},
+	}
+	if diff := cmp.Diff(want, a.Worst(bound)); diff != "" {
+		t.Errorf("worst windows (-want +got):\n%s", diff)
+	}
+}
--- a/decide/rationer/rationer.go
+++ b/decide/rationer/rationer.go
@@ -74,6 +74,17 @@
 	q.left = min(q.left+r.limits.Ratio*ratioPart, max(r.share()*standingPart, 1))
 }
 
+// State is what decides on a repeat.
+type State struct {
+	Left    float64 // repeats that the ration holds
+	Entries int     // that share the bound
+}
+
+// State returns the state of a service's ration.
+func (r *Rationer) State(now sequoiasill.Millis, service string) State {
+	return State{Left: r.fill(now, service).left, Entries: r.entries}
+}
+
 // Repeat takes a repeat from the ration of a service. It returns false if none is
 // left.
 func (r *Rationer) Repeat(now sequoiasill.Millis, service string) bool {
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -93,7 +93,7 @@
 	t.d.log.Info("attempt", append([]any{
 		"request", t.call.ID, "route", t.route.Name, "config", t.version, "upstream", t.choice.Replica.Name,
 		"zone", t.choice.Replica.Zone, "cost", int(t.choice.Cost), "prefill", t.choice.Prefill, "home", t.choice.Home, "candidates", t.choice.Choices, "reportAge", t.choice.Age,
-		"took", t.d.clock.Now() - t.began, "end", what,
+		"took", t.d.clock.Now() - t.began, "service", t.service, "arrivals", t.arrivals, "end", what,
 	}, args...)...)
 }
 
@@ -116,7 +116,11 @@
 		return stop, "caller left"
 	}
 	t.broke(ctx)
-	t.end(registrar.Failed, "failed", "error", err, "cause", context.Cause(ctx))
+	end := "failed"
+	if errors.Is(context.Cause(ctx), errGivenUp) {
+		end = "given up"
+	}
+	t.end(registrar.Failed, end, "error", err, "cause", context.Cause(ctx))
 	return t.afterRun("upstream gave no answer")
 }
 
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -88,7 +88,8 @@
 	Attempted(end string, took sequoiasill.Millis)
 	Began(after sequoiasill.Millis)
 	Ended(kind sequoiasill.RepeatKind, end string, took sequoiasill.Millis)
-	Repeated()
+	// Repeated counts a wish to send a call once more, allowed or not.
+	Repeated(service string, allowed bool)
 }
 
 // Options configure a Dispatcher.
@@ -143,6 +144,7 @@
 	rationer  *rationer.Rationer
 	blamer    *blamer.Blamer
 	work      map[string]*work // by service
+	entries   int              // that share bounds, 0 until it is told
 }
 
 // New returns a dispatcher without traffic rules: it refuses calls until it is
@@ -182,6 +184,10 @@
 func (d *Dispatcher) SetEntries(n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if n != d.entries {
+		d.log.Info("bounds are shared by another number of entries", "entries", n, "before", d.entries)
+	}
+	d.entries = n
 	d.rationer.SetEntries(n)
 	d.allotter.SetEntries(n)
 }
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -164,6 +164,11 @@
 // newDispatcher returns a dispatcher with three upstreams, each ready to be used,
 // and a ration of repeats.
 func newDispatcher(t *testing.T, c *courier, u *usage) *dispatcher.Dispatcher {
+	t.Helper()
+	return newLoggingDispatcher(t, c, u, hclog.NewNullLogger())
+}
+
+func newLoggingDispatcher(t *testing.T, c *courier, u *usage, log hclog.Logger) *dispatcher.Dispatcher {
 	t.Helper()
 	clock := sequoiasill.NewSystemClock()
 	r := registrar.New(registrar.DefaultOptions())
@@ -177,7 +182,7 @@
 	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, u, meter.New(), dispatcher.Decisions{
 		Registrar: r, Assigner: assigner.New(assigner.DefaultOptions(), 1), Allotter: allotter.New(allotter.Limits{Window: 1000}, 1, true),
 		Rationer: ration, Blamer: blamer.New(blamer.DefaultOptions()),
-	}, clock, hclog.NewNullLogger())
+	}, clock, log)
 	d.SetTraffic(traffic)
 	return d
 }
--- /dev/null
+++ b/relay/dispatcher/repeats_test.go
@@ -0,0 +1,76 @@
+package dispatcher_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+
+	"sequoiasill.dev/sequoiasill"
+)
+
+// The log tells why a call was sent once more, or was not: how the attempt ended, what
+// upstreams may have seen of the call, and the state of the ration.
+func TestLogExplainsRepeats(t *testing.T) {
+	good := step{status: 200, body: "good"}
+	tests := map[string]struct {
+		steps []step
+		want  []string // what is told, without times
+	}{
+		"given up": {[]step{{hang: true}, good}, []string{
+			"attempt given up, arrivals 1", "repeat true, arrivals 1", "attempt answered, arrivals 2"}},
+		"not sent": {[]step{{fail: true, verdict: sequoiasill.NotRun}, good}, []string{
+			"attempt not sent, arrivals 0", "attempt answered, arrivals 1"}},
+		"lost twice": {[]step{{fail: true, verdict: sequoiasill.MayHaveRun}}, []string{
+			"attempt failed, arrivals 1", "repeat true, arrivals 1", "attempt failed, arrivals 2"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var log bytes.Buffer
+			logger := hclog.New(&hclog.LoggerOptions{Output: &log, JSONFormat: true})
+			d := newLoggingDispatcher(t, &courier{steps: tc.steps}, &usage{began: make(map[string]int)}, logger)
+			d.Serve(context.Background(), call("/read/x", "key"), &reply{})
+			if diff := cmp.Diff(tc.want, told(t, log.Bytes())); diff != "" {
+				t.Errorf("log (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// told returns what the lines of a log tell of attempts and repeats.
+func told(t *testing.T, log []byte) []string {
+	t.Helper()
+	var out []string
+	for line := range bytes.Lines(log) {
+		var f struct {
+			Message  string `json:"@message"`
+			End      string `json:"end"`
+			Allowed  bool   `json:"allowed"`
+			Arrivals int    `json:"arrivals"`
+			Service  string `json:"service"`
+			Entries  int    `json:"entries"`
+		}
+		if err := json.Unmarshal(line, &f); err != nil {
+			t.Fatalf("line %q: %v", line, err)
+		}
+		switch f.Message {
+		case "attempt":
+			out = append(out, fmt.Sprintf("attempt %s, arrivals %d", f.End, f.Arrivals))
+		case "repeat":
+			out = append(out, fmt.Sprintf("repeat %t, arrivals %d", f.Allowed, f.Arrivals))
+			if f.Entries != 1 {
+				t.Errorf("bound shared by %d entries, want 1", f.Entries)
+			}
+		default:
+			continue
+		}
+		if f.Service != "plain" {
+			t.Errorf("%s tells service %q", f.Message, f.Service)
+		}
+	}
+	return out
+}
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 
@@ -220,12 +221,14 @@
 		return true
 	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.rationer.Repeat(d.clock.Now(), j.service) {
-		return false
-	}
-	d.meter.Repeated()
-	return true
+	now := d.clock.Now()
+	before := d.rationer.State(now, j.service)
+	allowed := d.rationer.Repeat(now, j.service)
+	d.mu.Unlock()
+	d.meter.Repeated(j.service, allowed)
+	d.log.Info("repeat", "request", j.call.ID, "service", j.service, "allowed", allowed, "arrivals", j.arrivals,
+		"left", math.Round(before.Left*100)/100, "entries", before.Entries)
+	return allowed
 }
 
 // finish ends a call that no upstream answered well.
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -49,8 +49,10 @@
 	m.time(fmt.Sprintf(`sequoia_call_seconds{kind=%q}`, kind), took)
 }
 
-// Repeated counts a call that is sent once more.
-func (m *Meter) Repeated() { m.count(`sequoia_repeats_total`) }
+// Repeated counts a wish to send a call of a service once more, allowed or not.
+func (m *Meter) Repeated(service string, allowed bool) {
+	m.count(fmt.Sprintf(`sequoia_repeats_total{service=%q,allowed="%t"}`, service, allowed))
+}
 
 // StoreCalled counts a call to the platform by what it asks and how it ended.
 func (m *Meter) StoreCalled(op, end string) {
--- a/relay/meter/meter_test.go
+++ b/relay/meter/meter_test.go
@@ -17,7 +17,8 @@
 	m.Attempted("answered", 12)
 	m.Began(30)
 	m.Ended(sequoiasill.Streaming, "good", 40)
-	m.Repeated()
+	m.Repeated("model", true)
+	m.Repeated("model", false)
 	m.StoreCalled("watch", "ok")
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
@@ -28,7 +29,8 @@
 		`sequoia_first_event_seconds_count 1`,
 		`sequoia_calls_total{kind="streaming",end="good"} 1`,
 		`sequoia_call_seconds_count{kind="streaming"} 1`,
-		"sequoia_repeats_total 1",
+		`sequoia_repeats_total{service="model",allowed="true"} 1`,
+		`sequoia_repeats_total{service="model",allowed="false"} 1`,
 		`sequoia_platform_calls_total{op="watch",end="ok"} 1`,
 		"process_resident_memory_bytes",
 	} {
