Judge the rule on repeats in the soak, with storms and upstreams that stand still

There are two services, and callers keep their pace. A request that crashes a replica now ends it for a second; before, only its connections were reset.

--- a/cmd/sequoia-soak/main.go
+++ b/cmd/sequoia-soak/main.go
@@ -13,6 +13,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/cmd/internal/launcher"
 	"sequoiasill.dev/sequoiasill/standin/soaker"
 )
@@ -24,9 +25,17 @@
 	app.Flag("seed", "First seed; 0 takes one from the time.").Default("0").Uint64Var(&o.Seed)
 	app.Flag("span", "Time of traffic with faults for each seed.").Default("20s").DurationVar(&o.Span)
 	app.Flag("entries", "Entries to run.").Default("4").IntVar(&o.Entries)
-	app.Flag("replicas", "Replicas to run.").Default("4").IntVar(&o.Replicas)
+	app.Flag("replicas", "Replicas of a plain service to run.").Default("4").IntVar(&o.Replicas)
+	app.Flag("engines", "Replicas of a service of streams to run.").Default("4").IntVar(&o.Engines)
+	app.Flag("rate", "Calls a second of all callers.").Default("150").Float64Var(&o.Rate)
 	app.Flag("callers", "Callers to run.").Default("16").IntVar(&o.Callers)
 	app.Flag("planned", "Planned work only.").BoolVar(&o.Planned)
+	app.Flag("storm", "Faults under which calls are wanted to be sent again.").BoolVar(&o.Storm)
+	o.Repeats.Window = 10 * sequoiasill.Second
+	app.Flag("repeat-ratio", "Repeats allowed for each call.").Default("0.2").Float64Var(&o.Repeats.Ratio)
+	app.Flag("repeat-slack", "Repeats allowed beyond, in each window.").Default("58").Float64Var(&o.Repeats.Slack)
+	app.Flag("repeat-window", "Length of a window, in whole seconds.").Default(o.Repeats.Window.Duration().String()).
+		SetValue(launcher.Span{Target: &o.Repeats.Window})
 	app.Flag("binary", "Program of the entry.").Default("bin/sequoia-edge").StringVar(&o.Binary)
 	keep := app.Flag("dir", "Directory for settings and logs; empty for one that is removed unless a promise is broken.").String()
 	launcher.Parse(app)
@@ -64,6 +73,9 @@
 	}
 	fmt.Printf("seed %d: %d calls, %d good, %d refused, %d failed, %d without an answer; %d promises broken\n",
 		o.Seed, counts.Calls, counts.Good, counts.Refused, counts.Failed, counts.Cut, len(broken))
+	for _, f := range counts.Fullest {
+		fmt.Printf("  repeats at %s: %d of %.0f in the fullest window, %d in all\n", f.Service, f.Repeats, f.Allowed, counts.Repeats)
+	}
 	for _, name := range slices.Sorted(maps.Keys(counts.Events)) {
 		fmt.Printf("  %3d %s\n", counts.Events[name], name)
 	}
--- a/standin/soaker/entry.go
+++ b/standin/soaker/entry.go
@@ -51,9 +51,9 @@
 [bounds]
 drainMs = 2000
 graceS = 6
-retryBudgetRatio = 0.2
-budgetSlack = 58
-retryWindowS = 10
+retryBudgetRatio = %g
+budgetSlack = %g
+retryWindowS = %d
 quotaWindowS = 8
 usageWindowS = 2
 usageDelayS = 10
@@ -62,7 +62,8 @@
 address = %q
 [cloudApi]
 address = %q
-`, e.number, e.ip(), portPeers, portPeers+1, seeds, e.callers(), e.ready(), e.store.listener.Addr(), e.store.listener.Addr())
+`, e.number, e.ip(), portPeers, portPeers+1, seeds, e.callers(), e.ready(), e.world.opts.Repeats.Ratio, e.world.opts.Repeats.Slack,
+		e.world.opts.Repeats.Window.Seconds(), e.store.listener.Addr(), e.store.listener.Addr())
 }
 
 // start starts the process. Its output goes to a file of its own.
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -48,17 +48,7 @@
 		w.withEntry(func(e *entry) { e.signal(syscall.SIGSTOP); time.Sleep(span); e.signal(syscall.SIGCONT) })
 	}},
 	{"crash a replica", false, func(w *World, span time.Duration) {
-		w.withReplica(func(r *replica) {
-			address := r.address()
-			w.forget(r)
-			r.close()
-			time.Sleep(span)
-			w.store.Delete("servers", r.id)
-			// Another replica may get the address.
-			if err := w.addReplica(address); err != nil {
-				w.judge.broken("replica not started: %v", err)
-			}
-		})
+		w.withReplica(func(r *replica) { w.crash(r, span) })
 	}},
 	{"send a request that crashes replicas", false, (*World).sendCrashing},
 	{"reset a replica's connections", false, func(w *World, _ time.Duration) { w.withReplica(func(r *replica) { r.proxy.reset() }) }},
@@ -103,9 +93,13 @@
 func (w *World) harm(span time.Duration) {
 	end := time.Now().Add(span)
 	slot := make(chan struct{}, overlap)
+	list, longest := faults, 3000
+	if w.opts.Storm {
+		list, longest = storms, longestStorm
+	}
 	for time.Now().Before(end) {
-		f := faults[w.draw(len(faults))]
-		lasts := time.Duration(200+w.draw(3000)) * time.Millisecond
+		f := list[w.draw(len(list))]
+		lasts := time.Duration(200+w.draw(longest)) * time.Millisecond
 		pause := time.Duration(w.draw(900)) * time.Millisecond
 		if w.opts.Planned && !f.planned {
 			continue
@@ -151,25 +145,62 @@
 	w.withOne("entry", e.number, func() { f(e) })
 }
 
-// withReplica runs f on a replica, unless few are left.
+// withReplica runs f on a replica, unless few of its service are left.
 func (w *World) withReplica(f func(r *replica)) {
 	w.mu.Lock()
 	ids := slices.Sorted(maps.Keys(w.replicas))
-	if len(ids) < 2 {
+	if len(ids) == 0 {
 		w.mu.Unlock()
 		return
 	}
 	r := w.replicas[ids[w.rand.IntN(len(ids))]]
+	few := len(w.ofService(r.service)) < 2
 	w.mu.Unlock()
-	f(r)
+	if !few {
+		f(r)
+	}
 }
 
-func (w *World) forget(r *replica) {
+// ofService returns the replicas of a service by id. The caller holds the lock.
+func (w *World) ofService(service string) []*replica {
+	var out []*replica
+	for _, id := range slices.Sorted(maps.Keys(w.replicas)) {
+		if r := w.replicas[id]; r.service == service {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// forget takes a replica off those that faults meet. It returns false if it was none.
+func (w *World) forget(r *replica) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	known := w.replicas[r.id] == r
 	delete(w.replicas, r.id)
+	return known
 }
 
+// crash ends a replica and starts another, which gets its address, after a span.
+func (w *World) crash(r *replica, span time.Duration) {
+	if !w.forget(r) {
+		return
+	}
+	address := r.address()
+	r.close()
+	time.Sleep(span)
+	w.store.Delete("servers", r.id)
+	if err := w.addReplica(r.service, address); err != nil {
+		w.judge.broken("replica not started: %v", err)
+	}
+}
+
+// backSpan is how long a replica is away that a request has crashed.
+const backSpan = time.Second
+
+// crashed ends a replica that a request crashes.
+func (w *World) crashed(r *replica) { w.crash(r, backSpan) }
+
 func (w *World) harmReplica(t trouble, span time.Duration) {
 	w.withReplica(func(r *replica) {
 		r.proxy.set(t)
@@ -189,16 +220,17 @@
 
 // sendCrashing sends a request that crashes the replicas that run it again and again,
 // each time under another id and at any entry.
-func (w *World) sendCrashing(time.Duration) {
+func (w *World) sendCrashing(time.Duration) { w.crashWith(once) }
+
+func (w *World) crashWith(k kind) {
 	const sends, pause = 20, 300 * time.Millisecond
 	w.mu.Lock()
 	w.made++
 	n := w.made
 	w.mu.Unlock()
 	for i := range sends {
-		c := &caller{world: w, name: fmt.Sprintf("crash-%d-%d", n, i), entry: w.readyEntry(w.draw(len(w.entries)))}
-		if c.entry != nil {
-			c.sendOnce(crashPath, fmt.Sprintf("crash %d", n))
+		if e := w.readyEntry(w.draw(len(w.entries))); e != nil {
+			w.sendOnce(e, fmt.Sprintf("crash-%d-%d", n, i), k, kinds[k]+crashName, fmt.Sprintf("crash %d", n))
 		}
 		time.Sleep(pause)
 	}
@@ -227,11 +259,11 @@
 
 // replaceReplica starts a replica, and then drains and ends another.
 func (w *World) replaceReplica(time.Duration) {
-	if err := w.addReplica(""); err != nil {
-		w.judge.broken("replica not started: %v", err)
-		return
-	}
 	w.withReplica(func(r *replica) {
+		if err := w.addReplica(r.service, ""); err != nil {
+			w.judge.broken("replica not started: %v", err)
+			return
+		}
 		w.forget(r)
 		r.drain()
 		w.store.Put("servers", r.id, r.entry())
--- a/standin/soaker/judge.go
+++ b/standin/soaker/judge.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/auditor"
 )
 
 // kind is a kind of call.
@@ -20,6 +23,22 @@
 // kinds are all kinds with the paths of their routes.
 var kinds = map[kind]string{once: "/once/", read: "/read/", long: "/long/", resumable: "/resume/"}
 
+// service returns the service that runs calls of a kind.
+func (k kind) service() string {
+	if k == long || k == resumable {
+		return model
+	}
+	return plain
+}
+
+// attempts returns how many upstreams may run a call of a kind.
+func (k kind) attempts() int {
+	if k == read || k == resumable {
+		return 2
+	}
+	return 1
+}
+
 // record is what callers and upstreams saw of a call.
 type record struct {
 	kind   kind
@@ -35,6 +54,7 @@
 type judge struct {
 	mu        sync.Mutex
 	calls     map[string]*record
+	budget    *budget
 	faults    []string
 	revoked   map[string]time.Time // keys, by when the store had the configuration without them
 	leaving   map[string]time.Time // upstreams, by when the store showed that they drain
@@ -48,11 +68,13 @@
 type Counts struct {
 	Calls, Good, Refused, Failed, Cut int
 	Events                            map[string]int // by kind of fault or planned work
+	Repeats                           int
+	Fullest                           []auditor.Window // of the bound on repeats, by service
 }
 
-func newJudge() *judge {
+func newJudge(repeats auditor.Bound) *judge {
 	return &judge{
-		calls: make(map[string]*record), revoked: make(map[string]time.Time), leaving: make(map[string]time.Time), crashes: make(map[string]*crashes),
+		calls: make(map[string]*record), budget: newBudget(repeats), revoked: make(map[string]time.Time), leaving: make(map[string]time.Time), crashes: make(map[string]*crashes),
 		counts: Counts{Events: make(map[string]int)},
 	}
 }
@@ -99,6 +121,17 @@
 	defer j.mu.Unlock()
 	j.calls[id] = &record{kind: k, key: key, sent: time.Now()}
 	j.counts.Calls++
+	j.budget.sent(now(), id, k.service(), k.attempts(), sequoiasill.MillisOf(callerSpan))
+}
+
+func now() sequoiasill.Millis { return sequoiasill.Millis(time.Now().UnixMilli()) }
+
+// arrive notes that a call comes to an upstream of a service with a time limit, held up
+// on its way or not.
+func (j *judge) arrive(id, service string, limit sequoiasill.Millis, heldUp bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.budget.arrived(now(), id, service, limit, heldUp)
 }
 
 const (
@@ -119,6 +152,7 @@
 		return
 	}
 	r.runs++
+	j.budget.began(id, upstream)
 	if r.runs > 1 && (r.kind == once || r.kind == long) {
 		j.fail("call %s ran %d times", id, r.runs)
 	}
@@ -224,5 +258,6 @@
 			j.fail("call %s ran and ended without an answer under planned work only: %v", id, r.lost)
 		}
 	}
-	return j.faults, j.counts
+	j.counts.Repeats, j.counts.Fullest = j.budget.audit.Repeats(), j.budget.audit.Worst(j.budget.bound)
+	return append(j.faults, j.budget.findings()...), j.counts
 }
--- a/standin/soaker/proxy.go
+++ b/standin/soaker/proxy.go
@@ -16,6 +16,7 @@
 	delay           // each piece of data waits
 	silence         // nothing passes, nothing is closed
 	oneWay          // requests pass, answers do not
+	freeze          // nothing is read until it is over, as by a process that stands still
 )
 
 // proxy passes connections on to an address and can harm them.
@@ -25,6 +26,8 @@
 
 	mu      sync.Mutex
 	trouble trouble
+	ended   time.Time     // of the last trouble
+	over    chan struct{} // closed when the trouble is over
 	conns   map[net.Conn]bool
 }
 
@@ -34,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool)}
+	p := &proxy{listener: l, target: target, over: make(chan struct{}), conns: make(map[net.Conn]bool)}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -48,6 +51,7 @@
 }
 
 func (p *proxy) close() {
+	p.set(none)
 	// Nothing is lost with the listener; open connections end by reset.
 	_ = p.listener.Close()
 	p.reset()
@@ -56,7 +60,32 @@
 func (p *proxy) set(t trouble) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.trouble != none {
+		p.ended = time.Now()
+	}
 	p.trouble = t
+	close(p.over)
+	p.over = make(chan struct{})
+}
+
+// heldUp reports whether there is a trouble, or was one within a span.
+func (p *proxy) heldUp(span time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.trouble != none || time.Since(p.ended) < span
+}
+
+// wait returns the trouble of the moment, and not before a freeze is over.
+func (p *proxy) wait() trouble {
+	for {
+		p.mu.Lock()
+		t, over := p.trouble, p.over
+		p.mu.Unlock()
+		if t != freeze {
+			return t
+		}
+		<-over
+	}
 }
 
 // reset resets all connections.
@@ -84,6 +113,7 @@
 }
 
 func (p *proxy) pass(near net.Conn) {
+	p.wait()
 	far, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = near.Close()
@@ -109,9 +139,7 @@
 	silent := false
 	for {
 		n, err := from.Read(buf)
-		p.mu.Lock()
-		t := p.trouble
-		p.mu.Unlock()
+		t := p.wait()
 		silent = silent || t == silence || t == oneWay && answers
 		if t == delay {
 			time.Sleep(rand.N(longestDelay))
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -8,20 +8,27 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"sequoiasill.dev/sequoiasill"
 )
 
 // replica is an upstream behind a proxy.
 type replica struct {
-	id     string
-	judge  *judge
-	proxy  *proxy
-	server *http.Server
-	active atomic.Int64
-	lose   atomic.Int64 // calls in a thousand that run and are not answered
-	fail   atomic.Int64 // and that end with an error
+	id      string
+	service string
+	crashed func(r *replica) // ends it and starts another
+	judge   *judge
+	proxy   *proxy
+	server  *http.Server
+	active  atomic.Int64
+	lose    atomic.Int64 // calls in a thousand that run and are not answered
+	fail    atomic.Int64 // and that end with an error
+	shed    atomic.Int64 // and that are refused
+	slow    atomic.Int64 // milliseconds that each call takes beyond its time
 
 	mu    sync.Mutex
 	state string
@@ -30,8 +37,14 @@
 // slots is how many calls a replica runs at once; more are refused.
 const slots = 24
 
+// Services that replicas belong to.
+const (
+	plain = "plain"
+	model = "model"
+)
+
 // newReplica starts a replica behind a proxy at an address, empty for any.
-func newReplica(id, address string, j *judge) (*replica, error) {
+func newReplica(id, service, address string, j *judge, crashed func(r *replica)) (*replica, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -44,7 +57,7 @@
 		_ = l.Close()
 		return nil, err
 	}
-	r := &replica{id: id, judge: j, proxy: p, state: "ready"}
+	r := &replica{id: id, service: service, crashed: crashed, judge: j, proxy: p, state: "ready"}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: 5 * time.Second}
 	go func() {
 		// It ends when the replica is closed.
@@ -66,7 +79,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return map[string]any{
-		"service": "plain", "address": r.address(), "zone": "a", "version": "v1", "slots": slots, "state": r.state, "sequence": 1,
+		"service": r.service, "address": r.address(), "zone": "a", "version": "v1", "slots": slots, "state": r.state, "sequence": 1,
 	}
 }
 
@@ -76,10 +89,10 @@
 	r.state = "draining"
 }
 
-// crashPath is the path of requests that crash the replicas that run them.
-var crashPath = kinds[once] + "crash"
+// crashName ends the path of requests that crash the replicas that run them.
+const crashName = "crash"
 
-// crash resets all connections, those of other calls too, as the end of a process does.
+// crash ends the replica, and with it the other calls there.
 func (r *replica) crash(req *http.Request) {
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
@@ -87,7 +100,8 @@
 		return
 	}
 	r.judge.crash(string(body))
-	r.proxy.reset()
+	go r.crashed(r)
+	panic(http.ErrAbortHandler)
 }
 
 // pieces returns the number of events of a call's stream.
@@ -98,14 +112,27 @@
 	return 2 + int(h.Sum32()%20)
 }
 
+// contactSpan is how long after a trouble calls may still be late because of it.
+const contactSpan = 3 * time.Second
+
+// timeLimit returns the time that an entry gives a replica for a call.
+func timeLimit(req *http.Request) sequoiasill.Millis {
+	millis, err := strconv.ParseInt(req.Header.Get("Deadline-Ms"), 10, 64)
+	if err != nil {
+		return noLimit
+	}
+	return sequoiasill.Millis(millis)
+}
+
 func (r *replica) serve(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
+	r.judge.arrive(id, r.service, timeLimit(req), r.proxy.heldUp(contactSpan))
 	if req.Header.Get("Expect-Instance") != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.active.Add(1) > slots {
+	if r.active.Add(1) > slots || rand.Int64N(1000) < r.shed.Load() {
 		r.active.Add(-1)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -113,11 +140,11 @@
 	}
 	defer r.active.Add(-1)
 	r.judge.run(id, r.id, req.Header.Get("Tenant"))
-	if req.URL.Path == crashPath {
+	if strings.HasSuffix(req.URL.Path, "/"+crashName) {
 		r.crash(req)
 		return
 	}
-	time.Sleep(rand.N(20 * time.Millisecond))
+	time.Sleep(rand.N(20*time.Millisecond) + time.Duration(r.slow.Load())*time.Millisecond)
 	switch draw := rand.Int64N(1000); {
 	case draw < r.lose.Load():
 		panic(http.ErrAbortHandler)
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -16,6 +16,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"sequoiasill.dev/sequoiasill/decide/auditor"
 	"sequoiasill.dev/sequoiasill/standin/store"
 )
 
@@ -27,11 +28,15 @@
 	Seed     uint64
 	Span     time.Duration // of traffic with faults
 	Entries  int
-	Replicas int
+	Replicas int // of a plain service
+	Engines  int // replicas of a service of streams
 	Callers  int
-	Planned  bool   // planned work only
-	Binary   string // of the entry
-	Dir      string // for settings and logs
+	Rate     float64       // calls a second of all callers
+	Planned  bool          // planned work only
+	Storm    bool          // faults under which calls are wanted to be sent again
+	Repeats  auditor.Bound // on repeats, as the settings of the entries name it
+	Binary   string        // of the entry
+	Dir      string        // for settings and logs
 }
 
 // settleSpan is how long traffic goes on without faults at the end.
@@ -62,7 +67,7 @@
 // Run plays one seed and returns the promises that were broken.
 func Run(o Options) ([]string, Counts, error) {
 	w := &World{
-		opts: o, judge: newJudge(), rand: rand.New(rand.NewPCG(o.Seed, 1)),
+		opts: o, judge: newJudge(o.Repeats), rand: rand.New(rand.NewPCG(o.Seed, 1)),
 		replicas: make(map[string]*replica), keys: []string{"key-0"}, ready: make(map[int]bool), busy: make(map[string]bool),
 	}
 	claim, err := w.claim()
@@ -77,9 +82,11 @@
 	w.store = store.New(l, o.Seed, hclog.NewNullLogger())
 	defer w.store.Close()
 	w.configure()
-	for range o.Replicas {
-		if err := w.addReplica(""); err != nil {
-			return nil, Counts{}, err
+	for service, n := range map[string]int{plain: o.Replicas, model: o.Engines} {
+		for range n {
+			if err := w.addReplica(service, ""); err != nil {
+				return nil, Counts{}, err
+			}
 		}
 	}
 	defer w.closeReplicas()
@@ -157,7 +164,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	for i := range w.opts.Callers {
-		c := &caller{world: w, name: fmt.Sprintf("c%d", i), rand: rand.New(rand.NewPCG(w.opts.Seed, uint64(i)+100))}
+		c := &caller{
+			world: w, name: fmt.Sprintf("c%d", i), rand: rand.New(rand.NewPCG(w.opts.Seed, uint64(i)+100)),
+			pace: time.Duration(float64(w.opts.Callers) / w.opts.Rate * float64(time.Second)),
+		}
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
@@ -216,29 +226,27 @@
 	w.version += 1 + w.rand.IntN(3)
 	routes := []any{}
 	for k, path := range kinds {
-		attempts := 1
 		name := map[kind]string{once: "unsafe", read: "safe", long: "streaming", resumable: "streaming"}[k]
-		if k == read || k == resumable {
-			attempts = 2
-		}
 		routes = append(routes, map[string]any{
 			"name": path, "host": host, "pathPrefix": path, "routeKind": name, "resumable": k == resumable, "timeoutMs": 3000,
-			"targetLatencyMs": 200, "service": "plain", "maxAttempts": attempts,
+			"targetLatencyMs": 200, "service": k.service(), "maxAttempts": k.attempts(),
 		})
 	}
 	w.store.Put("config", "main", map[string]any{
-		"version": w.version, "routes": routes, "services": []any{map[string]any{"name": "plain", "healthPath": "/healthz"}},
+		"version": w.version, "routes": routes, "services": []any{
+			map[string]any{"name": plain, "healthPath": "/healthz"}, map[string]any{"name": model, "healthPath": "/healthz"},
+		},
 		"limits":  map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "small", "apiKeys": w.keys}},
 	})
 }
 
-// addReplica starts a replica, at an address that another had or at any.
-func (w *World) addReplica(address string) error {
+// addReplica starts a replica of a service, at an address that another had or at any.
+func (w *World) addReplica(service, address string) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.born++
-	r, err := newReplica(fmt.Sprintf("i-%d", w.born), address, w.judge)
+	r, err := newReplica(fmt.Sprintf("i-%d", w.born), service, address, w.judge, w.crashed)
 	if err != nil {
 		return err
 	}
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/auditor"
 	"sequoiasill.dev/sequoiasill/standin/soaker"
 )
 
@@ -22,7 +24,8 @@
 	for name, o := range seeds(t) {
 		t.Run(name, func(t *testing.T) {
 			o.Binary, o.Dir = binary, t.TempDir()
-			o.Span, o.Entries, o.Replicas, o.Callers = 4*time.Second, 3, 3, 8
+			o.Span, o.Entries, o.Replicas, o.Engines, o.Callers, o.Rate = 4*time.Second, 3, 3, 3, 8, 80
+			o.Repeats = auditor.Bound{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second}
 			broken, counts, err := soaker.Run(o)
 			if err != nil {
 				t.Fatal(err)
@@ -56,7 +59,7 @@
 		if err != nil {
 			t.Fatalf("seed %q: %v", fields[0], err)
 		}
-		out[fields[0]+" "+fields[1]] = soaker.Options{Seed: seed, Planned: fields[1] == "planned"}
+		out[fields[0]+" "+fields[1]] = soaker.Options{Seed: seed, Planned: fields[1] == "planned", Storm: fields[1] == "storm"}
 	}
 	if err := s.Err(); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/standin/soaker/storms.go
@@ -0,0 +1,100 @@
+package soaker
+
+import (
+	"sync"
+	"syscall"
+	"time"
+)
+
+// longestStorm bounds the span of a storm in milliseconds. It is longer than a window of
+// the bound on repeats.
+const longestStorm = 12_000
+
+// storms are the faults under which many calls are wanted to be sent again, and those
+// that change who shares the bound.
+var storms = []fault{
+	{"freeze some of a service", false, func(w *World, span time.Duration) { w.freeze(w.some(), span) }},
+	{"freeze a service", false, func(w *World, span time.Duration) { w.freeze(w.all(), span) }},
+	{"fail calls of a service", false, func(w *World, span time.Duration) {
+		each(w.all(), span, func(r *replica, on bool) { r.fail.Store(perMille(450, on)) })
+	}},
+	{"lose answers of a service", false, func(w *World, span time.Duration) {
+		each(w.all(), span, func(r *replica, on bool) { r.lose.Store(perMille(400, on)) })
+	}},
+	{"refuse calls of a service", false, func(w *World, span time.Duration) {
+		each(w.all(), span, func(r *replica, on bool) { r.shed.Store(perMille(700, on)) })
+	}},
+	{"slow a service down", false, func(w *World, span time.Duration) {
+		each(w.all(), span, func(r *replica, on bool) { r.slow.Store(perMille(800, on)) })
+	}},
+	{"send a request that may repeat and crashes replicas", false, func(w *World, _ time.Duration) { w.crashWith(read) }},
+	{"pause some entries", false, (*World).pauseSome},
+	{"kill some entries", false, (*World).killSome},
+	{"stop an entry", true, func(w *World, _ time.Duration) {
+		w.withEntry(func(e *entry) { e.restart(e.signal(syscall.SIGTERM), 0) })
+	}},
+}
+
+// perMille returns the strength of a fault while it is on.
+func perMille(strength int64, on bool) int64 {
+	if on {
+		return strength
+	}
+	return 0
+}
+
+// each switches a fault of replicas on for a span.
+func each(replicas []*replica, span time.Duration, set func(r *replica, on bool)) {
+	for _, r := range replicas {
+		set(r, true)
+	}
+	time.Sleep(span)
+	for _, r := range replicas {
+		set(r, false)
+	}
+}
+
+// freeze lets replicas stand still: what is sent to them meanwhile comes to them at the
+// end.
+func (w *World) freeze(replicas []*replica, span time.Duration) {
+	each(replicas, span, func(r *replica, on bool) {
+		if on {
+			r.proxy.set(freeze)
+			return
+		}
+		r.proxy.set(none)
+	})
+}
+
+// all returns the replicas of one service.
+func (w *World) all() []*replica {
+	service := []string{plain, model}[w.draw(2)]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ofService(service)
+}
+
+// some returns some replicas of one service, up to half of them.
+func (w *World) some() []*replica {
+	all := w.all()
+	return all[:min(1+w.draw(max(len(all)/2, 1)), len(all))]
+}
+
+// someEntries runs f on entries of which no other fault has hold, up to two thirds of all.
+func (w *World) someEntries(f func(e *entry)) {
+	var done sync.WaitGroup
+	first, n := w.draw(len(w.entries)), 1+w.draw(max(len(w.entries)*2/3, 1))
+	for i := range n {
+		e := w.entries[(first+i)%len(w.entries)]
+		done.Go(func() { w.withOne("entry", e.number, func() { f(e) }) })
+	}
+	done.Wait()
+}
+
+func (w *World) pauseSome(span time.Duration) {
+	w.someEntries(func(e *entry) { e.signal(syscall.SIGSTOP); time.Sleep(span); e.signal(syscall.SIGCONT) })
+}
+
+func (w *World) killSome(time.Duration) {
+	w.someEntries(func(e *entry) { e.restart(e.signal(syscall.SIGKILL), 300*time.Millisecond) })
+}
