Keep room in the ration for repeats that may still come

Seen by callers' operators: rule BUDGET broken on real machines, "repeats piled up beyond what is allowed".

Cause: the ration was spent at the moment of sending and filled again over time, while the rule counts arrivals. An upstream that stands still takes, through its kernel or a proxy, what is sent to it; an attempt that is given up does not call that back. When it goes on, repeats of many windows come at once.

Fix: a repeat fills its place in the ration until each send of its call is known to have come or never to come. An answer shows that what was sent to that upstream before has come; of what nothing is known, two windows are waited for. What is left and open together stays within what the ration holds, so a window cannot get more than that and what is added in it, whenever it was sent.

The bound of TestBoundHolds is unchanged; its repeats now belong to a call.

--- a/decide/rationer/rationer_test.go
+++ b/decide/rationer/rationer_test.go
@@ -17,6 +17,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(t, "entries")
 		all := make([]*rationer.Rationer, n)
+		latest := make([]*rationer.Call, n)
 		for i := range all {
 			all[i] = rationer.New(limits, n)
 		}
@@ -26,14 +27,14 @@
 			now := sequoiasill.Millis(s) * step
 			for i := range all {
 				if rapid.IntRange(0, 40).Draw(t, "restart") == 0 {
-					all[i] = rationer.New(limits, n)
+					all[i], latest[i] = rationer.New(limits, n), nil
 				}
 				for range rapid.IntRange(0, 20).Draw(t, "calls") {
-					all[i].Call(now, "model")
+					latest[i] = all[i].Call(now, "model")
 					calls[s]++
 				}
 				for range rapid.IntRange(0, 20).Draw(t, "failures") {
-					if all[i].Repeat(now, "model") {
+					if latest[i] != nil && repeat(all[i], now, latest[i]) {
 						repeats[s]++
 					}
 				}
@@ -57,22 +58,32 @@
 	})
 }
 
+// repeat sends a call once more if that is allowed. The upstream answers at once.
+func repeat(r *rationer.Rationer, now sequoiasill.Millis, c *rationer.Call) bool {
+	if !r.Repeat(now, c) {
+		return false
+	}
+	r.Ended(r.Sent(now, c, "i-1"), rationer.Answered)
+	return true
+}
+
 func TestRationIsEmptyAtTheStart(t *testing.T) {
 	r := rationer.New(limits, 9)
-	if r.Repeat(0, "model") {
+	if r.Repeat(0, r.Call(0, "model")) {
 		t.Error("a process that has just started repeats a call")
 	}
 }
 
 func TestCallsAddToTheRation(t *testing.T) {
 	r := rationer.New(limits, 9)
+	var c *rationer.Call
 	for range 10 {
-		r.Call(0, "model")
+		c = r.Call(0, "model")
 	}
-	if !r.Repeat(0, "model") {
+	if !r.Repeat(0, c) {
 		t.Error("no repeat after ten calls")
 	}
-	if r.Repeat(0, "other") {
+	if r.Repeat(0, r.Call(0, "other")) {
 		t.Error("a service spends the ration of another")
 	}
 }
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 )
 
@@ -44,7 +46,7 @@
 var errGivenUp = errors.New("no answer in time")
 
 // attempt sends the call to one upstream and delivers its answer if that is good.
-func (d *Dispatcher) attempt(ctx context.Context, j *job, choice assigner.Choice) (next, string) {
+func (d *Dispatcher) attempt(ctx context.Context, j *job, choice assigner.Choice, send *rationer.Send) (next, string) {
 	j.tried[choice.Replica.Name] = true
 	actx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -59,11 +61,26 @@
 	answer, err := d.courier.Send(actx, a)
 	if err != nil {
 		stopTimer()
+		d.sendEnded(send, endOf(actx, err))
 		return t.failed(actx, err)
 	}
+	d.sendEnded(send, rationer.Answered)
 	return t.judge(actx, answer, stopTimer)
 }
 
+// endOf returns how a send without an answer ended: what was written may still come to
+// the upstream, unless that has closed the connection.
+func endOf(ctx context.Context, err error) rationer.End {
+	var timeout net.Error
+	switch {
+	case Verdict(err) == sequoiasill.NotRun:
+		return rationer.Closed
+	case ctx.Err() != nil, errors.As(err, &timeout) && timeout.Timeout():
+		return rationer.Left
+	}
+	return rationer.Closed
+}
+
 // giveUpTimer ends the attempt if its answer does not begin in time, where the
 // call may be repeated and there is time for another attempt.
 func (t *try) giveUpTimer() (stop func() bool) {
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -12,6 +12,7 @@
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 )
 
@@ -26,6 +27,7 @@
 	reply    Reply
 	deadline sequoiasill.Millis
 	print    blamer.Fingerprint
+	ration   *rationer.Call
 
 	tried    map[string]bool
 	arrivals int // upstreams that the call reached
@@ -128,7 +130,7 @@
 			return wait, false
 		}
 	}
-	d.rationer.Call(now, j.service)
+	j.ration = d.rationer.Call(now, j.service)
 	return 0, true
 }
 
@@ -154,12 +156,12 @@
 // run makes attempts until one ends the call.
 func (d *Dispatcher) run(ctx context.Context, j *job) {
 	for {
-		choice, ok := d.place(j)
+		choice, send, ok := d.place(j)
 		if !ok {
 			d.finish(ctx, j, "no upstream left")
 			return
 		}
-		n, reason := d.attempt(ctx, j, choice)
+		n, reason := d.attempt(ctx, j, choice, send)
 		switch {
 		case n == done:
 			return
@@ -196,7 +198,7 @@
 }
 
 // place chooses an upstream and counts the call there.
-func (d *Dispatcher) place(j *job) (assigner.Choice, bool) {
+func (d *Dispatcher) place(j *job) (assigner.Choice, *rationer.Send, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
@@ -205,11 +207,11 @@
 		Zone: d.opts.Zone, Engine: j.engine, Prompt: j.call.Prompt, Tried: j.tried,
 	}, candidates)
 	if !ok {
-		return choice, false
+		return choice, nil, false
 	}
 	d.registrar.Sent(choice.Replica.Name, choice.Prefill)
 	d.addWork(now, j, choice)
-	return choice, true
+	return choice, d.rationer.Sent(now, j.ration, choice.Replica.Name), true
 }
 
 // mayRepeat reports whether the call may be sent once more.
@@ -222,12 +224,12 @@
 	}
 	d.mu.Lock()
 	now := d.clock.Now()
-	before := d.rationer.State(now, j.service)
-	allowed := d.rationer.Repeat(now, j.service)
+	before := d.rationer.State(now, j.ration)
+	allowed := d.rationer.Repeat(now, j.ration)
 	d.mu.Unlock()
 	d.meter.Repeated(j.service, allowed)
 	d.log.Info("repeat", "request", j.call.ID, "service", j.service, "allowed", allowed, "arrivals", j.arrivals,
-		"left", math.Round(before.Left*100)/100, "entries", before.Entries)
+		"left", math.Round(before.Left*100)/100, "open", before.Open, "entries", before.Entries)
 	return allowed
 }
 
@@ -262,6 +264,13 @@
 	}
 }
 
+// sendEnded tells the ration how a send ended.
+func (d *Dispatcher) sendEnded(s *rationer.Send, e rationer.End) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rationer.Ended(s, e)
+}
+
 // ended counts an attempt off.
 func (d *Dispatcher) ended(choice assigner.Choice, prefill int, o registrar.Outcome) {
 	d.mu.Lock()
