Test which sends may still come to an upstream

endOf decides whether a repeat keeps its place in the ration: a send that is given up or not acknowledged does, one that was not sent or whose connection the upstream closed does not. It had no test of its own; the rule was seen to work through the ration's tests and the soak only.

--- /dev/null
+++ b/relay/dispatcher/end_test.go
@@ -0,0 +1,43 @@
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"os"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/juju/errors"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
+)
+
+// notSent is the error of a send of which no byte was written.
+type notSent struct{ error }
+
+func (notSent) Ran() sequoiasill.Verdict { return sequoiasill.NotRun }
+
+func TestSendsThatMayStillCome(t *testing.T) {
+	ended, end := context.WithCancelCause(context.Background())
+	end(errGivenUp)
+	tests := map[string]struct {
+		ctx  context.Context
+		err  error
+		want rationer.End
+	}{
+		"not sent":                   {context.Background(), notSent{io.EOF}, rationer.Closed},
+		"not sent before the end":    {ended, notSent{io.EOF}, rationer.Closed},
+		"closed by the upstream":     {context.Background(), errors.Trace(io.EOF), rationer.Closed},
+		"no acknowledgement":         {context.Background(), errors.Trace(os.ErrDeadlineExceeded), rationer.Left},
+		"given up":                   {ended, errors.Trace(io.EOF), rationer.Left},
+		"given up and not confirmed": {ended, errors.Trace(os.ErrDeadlineExceeded), rationer.Left},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(tc.want, endOf(tc.ctx, tc.err)); diff != "" {
+				t.Errorf("end (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
