Keep the shares of entries that fell silent

Entries that are cut off from each other look dead, so each island shares the whole out once more.

Fix: entries that fell silent count as sharers for the ten minutes in which gossip remembers them, unless they said that they leave. After lost machines are replaced the shares are smaller for that long: 10 for 9 in a small deployment.

Before: TestSharesOfSilentEntriesStay/silent fails (2 sharers, 3 are wanted). After: it passes, and TestSharersWhileParted holds in three islands of a lossy network.

--- a/decide/gossiper/gossiper.go
+++ b/decide/gossiper/gossiper.go
@@ -253,6 +253,19 @@
 	return out
 }
 
+// Sharers returns the number of entries that may be at work, this one included: those
+// that live, and those thought dead that did not say that they leave. One that is only
+// cut off looks dead from here.
+func (g *Gossiper) Sharers() int {
+	n := 1
+	for _, p := range g.members {
+		if p.member.State != Dead || !p.member.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // Fact returns the fact with the key.
 func (g *Gossiper) Fact(key string) (Fact, bool) {
 	r, ok := g.facts[key]
--- a/decide/gossiper/gossiper_test.go
+++ b/decide/gossiper/gossiper_test.go
@@ -275,6 +275,27 @@
 	}
 }
 
+// Islands that do not see each other know of each other's members, so that what all
+// share is not shared out more than once. One that left is not counted.
+func TestSharersWhileParted(t *testing.T) {
+	const members, island = 9, 3
+	w := newNetwork(members, 23, 0.02)
+	w.run(sequoiasill.Minute)
+	w.act(0, w.nodes[0].Step(w.now, Leave{}))
+	w.run(w.now + 2*sequoiasill.Second)
+	w.stopped[0] = true
+	w.cut = func(from, to int) bool { return from/island != to/island }
+	w.run(w.now + 3*sequoiasill.Minute)
+	if diff := cmp.Diff(map[int]int{island - 1: 2, island: 6}, w.views()); diff != "" {
+		t.Fatalf("views while parted (-want +got):\n%s", diff)
+	}
+	for i, g := range w.nodes {
+		if got := g.Sharers(); !w.stopped[i] && got != members-1 {
+			t.Errorf("member %d counts %d sharers, %d are at work", i, got, members-1)
+		}
+	}
+}
+
 // BenchmarkTraffic reports the bytes that a member sends in a second while each
 // member publishes its demand every ten seconds.
 func BenchmarkTraffic(b *testing.B) {
--- a/entry/messenger/messenger.go
+++ b/entry/messenger/messenger.go
@@ -124,6 +124,13 @@
 	return m.gossiper.Members()
 }
 
+// Sharers returns the number of entries that may be at work, this one included.
+func (m *Messenger) Sharers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.gossiper.Sharers()
+}
+
 // Member returns the live entry with the name.
 func (m *Messenger) Member(name string) (gossiper.Member, bool) {
 	for _, member := range m.Members() {
--- a/relay/exchanger/demand.go
+++ b/relay/exchanger/demand.go
@@ -161,7 +161,7 @@
 
 // balance tells the dispatcher of the demand at all entries.
 func (e *Exchanger) balance() {
-	e.calls.SetEntries(max(len(e.gossip.Members()), e.opts.Fewest))
+	e.calls.SetEntries(max(e.gossip.Sharers(), e.opts.Fewest))
 	collector, sum, ok := e.sum()
 	now := e.clock.Now()
 	e.mu.Lock()
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -37,6 +37,7 @@
 	all      allotter.Totals
 	blamer   *blamer.Blamer
 	facts    map[string]string // that concern moves
+	sharers  int               // entries that bounds are shared by
 	label    string
 }
 
@@ -84,7 +85,13 @@
 	return allotter.Totals{Tokens: e.demand, Spent: map[string]float64{"small": e.spent}}
 }
 func (e *entry) Work() map[string]float64 { return map[string]float64{"model": 100} }
-func (e *entry) SetEntries(int)           {}
+
+// SetEntries notes the number of entries that bounds are shared by.
+func (e *entry) SetEntries(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sharers = n
+}
 
 func (e *entry) Charges() []blamer.Charge {
 	e.mu.Lock()
@@ -182,6 +189,33 @@
 	}
 }
 
+// An entry that falls silent may only be cut off and spend its share on, so the others'
+// shares do not grow. One that said that it leaves gives its share up.
+func TestSharesOfSilentEntriesStay(t *testing.T) {
+	tests := map[string]struct {
+		end  func(e *entry)
+		want int
+	}{
+		"silent":  {func(*entry) {}, 3},
+		"leaving": {func(e *entry) { e.Leave() }, 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			all := cluster(t, 3)
+			tc.end(all[2])
+			all[2].Close()
+			await(t, "live entries", 2, all[0].Entries)
+			// Shares are told soon after.
+			time.Sleep(time.Second)
+			all[0].mu.Lock()
+			defer all[0].mu.Unlock()
+			if diff := cmp.Diff(tc.want, all[0].sharers); diff != "" {
+				t.Errorf("entries that share bounds (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // An entry that the store shuts out learns configuration and upstreams from others.
 func TestNewsReachesAll(t *testing.T) {
 	entries := cluster(t, 5)
