Give a repeat back that finds no upstream

Seen in review of the change to the ration, not by callers: a repeat that was allowed and then found no upstream left (all had refused the call) kept its place for good, as no send ended that would free it. An entry's ration would have shrunk with each such call until nothing was repeated any more.

Evidence: TestRepeatWithoutUpstreamFreesItsPlace, before: the log tells open 1, then 2, after two calls that all three upstreams refused; now 0 throughout.

--- a/decide/rationer/late_test.go
+++ b/decide/rationer/late_test.go
@@ -111,6 +111,7 @@
 		now  sequoiasill.Millis
 		want int
 	}{
+		"given back": {func(r *rationer.Rationer, c *rationer.Call) { r.Return(c) }, 200, 0},
 		"an answer": {func(r *rationer.Rationer, c *rationer.Call) {
 			r.Ended(r.Sent(100, c, "i-2"), rationer.Answered)
 		}, 200, 0},
--- a/decide/rationer/rationer.go
+++ b/decide/rationer/rationer.go
@@ -61,7 +61,8 @@
 type Call struct {
 	ration  *ration
 	pending int // sends that may still come
-	repeats int // open ones
+	repeats int // open ones, those that are not sent yet too
+	unsent  int // of these
 }
 
 // Send is a send of a call to an upstream.
@@ -140,7 +141,7 @@
 }
 
 // Repeat takes a repeat from the ration of a call's service. It returns false if none
-// is left.
+// is left. Sent or Return must follow.
 func (r *Rationer) Repeat(now sequoiasill.Millis, c *Call) bool {
 	q := c.ration
 	r.fill(now, q, 0)
@@ -150,12 +151,22 @@
 	q.left--
 	q.open++
 	c.repeats++
+	c.unsent++
 	return true
 }
 
+// Return gives back what was taken for a call and not sent.
+func (r *Rationer) Return(c *Call) {
+	c.ration.left += float64(c.unsent)
+	c.ration.open -= c.unsent
+	c.repeats -= c.unsent
+	c.unsent = 0
+}
+
 // Sent tells that a call is sent to an upstream. Ended must be called for the send.
 func (r *Rationer) Sent(now sequoiasill.Millis, c *Call, upstream string) *Send {
 	c.pending++
+	c.unsent = 0
 	return &Send{call: c, upstream: upstream, at: now}
 }
 
--- a/relay/dispatcher/repeats_test.go
+++ b/relay/dispatcher/repeats_test.go
@@ -41,6 +41,25 @@
 	}
 }
 
+// A repeat that is allowed and finds no upstream left takes no place in the ration.
+func TestRepeatWithoutUpstreamFreesItsPlace(t *testing.T) {
+	var log bytes.Buffer
+	logger := hclog.New(&hclog.LoggerOptions{Output: &log, JSONFormat: true})
+	c := &courier{steps: []step{{status: 503, refused: true}}}
+	d := newLoggingDispatcher(t, c, &usage{began: make(map[string]int)}, logger)
+	for range 4 {
+		d.Serve(context.Background(), call("/once/x", "key"), &reply{})
+	}
+	if !bytes.Contains(log.Bytes(), []byte("no upstream left")) {
+		t.Error("all calls found an upstream")
+	}
+	for line := range bytes.Lines(log.Bytes()) {
+		if bytes.Contains(line, []byte(`"repeat"`)) && !bytes.Contains(line, []byte(`"open":0`)) {
+			t.Errorf("no send is open, the log tells %s", line)
+		}
+	}
+}
+
 // told returns what the lines of a log tell of attempts and repeats.
 func told(t *testing.T, log []byte) []string {
 	t.Helper()
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -207,6 +207,7 @@
 		Zone: d.opts.Zone, Engine: j.engine, Prompt: j.call.Prompt, Tried: j.tried,
 	}, candidates)
 	if !ok {
+		d.rationer.Return(j.ration)
 		return choice, nil, false
 	}
 	d.registrar.Sent(choice.Replica.Name, choice.Prefill)
