Give a slow answer up only where its call can be sent elsewhere

With repeats that keep their place while they are open, rations are empty more often, so it matters more.

Cause: the attempt was given up by a timer that did not ask whether anything better could be done.

Fix: when the time is over, the entry looks for an upstream that has not had the call and takes a repeat; only then the attempt is given up. Else it looks again every 50 ms as long as there is time for another attempt, and the upstream counts as failing meanwhile (registrar.Late). A repeat that was taken is given back if the answer comes after all. As the wish to repeat now comes before the end of the attempt, so do their log lines; TestLogExplainsRepeats expects them in that order.

Found by its tests: a repeat taken while the send before it was still open was counted off twice (open -2); settle leaves out what is not sent yet.

--- a/decide/rationer/late_test.go
+++ b/decide/rationer/late_test.go
@@ -112,6 +112,17 @@
 		want int
 	}{
 		"given back": {func(r *rationer.Rationer, c *rationer.Call) { r.Return(c) }, 200, 0},
+		"given back after the send before it was answered": {func(r *rationer.Rationer, c *rationer.Call) {
+			s := r.Sent(100, c, "i-2")
+			r.Repeat(150, c)
+			r.Ended(s, rationer.Answered)
+			r.Return(c)
+		}, 200, 0},
+		"taken when the send before it is answered": {func(r *rationer.Rationer, c *rationer.Call) {
+			s := r.Sent(100, c, "i-2")
+			r.Repeat(150, c)
+			r.Ended(s, rationer.Answered)
+		}, 200, 1},
 		"an answer": {func(r *rationer.Rationer, c *rationer.Call) {
 			r.Ended(r.Sent(100, c, "i-2"), rationer.Answered)
 		}, 200, 0},
--- a/decide/rationer/rationer.go
+++ b/decide/rationer/rationer.go
@@ -155,6 +155,9 @@
 	return true
 }
 
+// Granted reports whether a repeat was taken for the call and not sent yet.
+func (c *Call) Granted() bool { return c.unsent > 0 }
+
 // Return gives back what was taken for a call and not sent.
 func (r *Rationer) Return(c *Call) {
 	c.ration.left += float64(c.unsent)
@@ -183,14 +186,14 @@
 	}
 }
 
-// settle counts off a send that has come or never will. With the last one of a call its
-// repeats are no longer open.
+// settle counts off a send that has come or never will. With the last one of a call the
+// repeats that were sent are no longer open.
 func (s *Send) settle() {
 	c := s.call
 	c.pending--
 	if c.pending == 0 {
-		c.ration.open -= c.repeats
-		c.repeats = 0
+		c.ration.open -= c.repeats - c.unsent
+		c.repeats = c.unsent
 	}
 }
 
--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -242,6 +242,16 @@
 	}
 }
 
+// Late takes in that a call in progress has no answer in time. It counts as a failure,
+// so that others go elsewhere before the call ends.
+func (r *Registrar) Late(now sequoiasill.Millis, name string) {
+	if s, ok := r.replicas[name]; ok {
+		s.decay(now, r.opts.FailureSpan)
+		s.calls++
+		s.failures++
+	}
+}
+
 func (s *state) decay(now sequoiasill.Millis, span sequoiasill.Millis) {
 	if passed := now - s.decayedAt; passed > 0 {
 		keep := math.Exp(-float64(passed) / float64(span))
--- a/decide/registrar/registrar_test.go
+++ b/decide/registrar/registrar_test.go
@@ -158,6 +158,23 @@
 	}
 }
 
+// A call without an answer in time speaks against its upstream before it ends.
+func TestLateAnswerCountsAsAFailure(t *testing.T) {
+	r := registrar.New(registrar.DefaultOptions())
+	r.Announce(0, replica("a", 1))
+	r.Sent("a", 0)
+	r.Late(900, "a")
+	c := r.Candidates(900, "model")
+	if diff := cmp.Diff([]int{1, 1}, []int{len(c), c[0].Own}); diff != "" {
+		t.Fatalf("candidates, own calls (-want +got):\n%s", diff)
+	}
+	late := c[0].Failures
+	r.Ended(1000, "a", 0, registrar.Good)
+	if after := r.Candidates(1000, "model")[0].Failures; late <= 0 || after <= 0 || after >= late {
+		t.Errorf("failures %f while it is late and %f after its answer", late, after)
+	}
+}
+
 func TestReportsAgeAndLeaveOutOwnCalls(t *testing.T) {
 	r := registrar.New(registrar.DefaultOptions())
 	r.Announce(0, replica("a", 1))
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -38,8 +37,10 @@
 	choice  assigner.Choice
 	prefill int // tokens not yet counted off
 	began   sequoiasill.Millis
-	first   sequoiasill.Millis // from the begin to the first event, 0 before it
-	cancel  context.CancelCauseFunc
+	// arrivalsThen are the upstreams that the call had reached before this attempt.
+	arrivalsThen int
+	first        sequoiasill.Millis // from the begin to the first event, 0 before it
+	cancel       context.CancelCauseFunc
 }
 
 // errGivenUp ends an attempt whose answer is not awaited any longer.
@@ -50,22 +51,23 @@
 	j.tried[choice.Replica.Name] = true
 	actx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, began: d.clock.Now(), cancel: cancel}
+	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, began: d.clock.Now(), arrivalsThen: j.arrivals, cancel: cancel}
 	a := Attempt{
 		Call: j.call, Replica: choice.Replica, Left: j.deadline - t.began, Urgency: j.urgency(), After: j.after,
 	}
 	if j.account != nil {
 		a.Organisation = j.account.Name
 	}
-	stopTimer := t.giveUpTimer()
+	patience := newPatience(t)
+	defer patience.stop()
 	answer, err := d.courier.Send(actx, a)
 	if err != nil {
-		stopTimer()
+		patience.stop()
 		d.sendEnded(send, endOf(actx, err))
 		return t.failed(actx, err)
 	}
 	d.sendEnded(send, rationer.Answered)
-	return t.judge(actx, answer, stopTimer)
+	return t.judge(actx, answer, patience)
 }
 
 // endOf returns how a send without an answer ended: what was written may still come to
@@ -81,17 +83,6 @@
 	return rationer.Closed
 }
 
-// giveUpTimer ends the attempt if its answer does not begin in time, where the
-// call may be repeated and there is time for another attempt.
-func (t *try) giveUpTimer() (stop func() bool) {
-	left := t.deadline - t.began
-	span := t.route.Latency * sequoiasill.Millis(t.d.opts.GiveUpPart) / 100
-	if !t.route.MayRepeat() || t.runs+1 >= t.route.MaxAttempts || span <= 0 || span*2 > left {
-		return func() bool { return true }
-	}
-	return time.AfterFunc(span.Duration(), func() { t.cancel(errGivenUp) }).Stop
-}
-
 // end counts the attempt off and logs it.
 func (t *try) end(o registrar.Outcome, what string, args ...any) {
 	t.d.ended(t.choice, t.prefill, o)
@@ -159,14 +150,14 @@
 }
 
 // judge takes in an answer.
-func (t *try) judge(ctx context.Context, a *Answer, stopTimer func() bool) (next, string) {
+func (t *try) judge(ctx context.Context, a *Answer, patience *patience) (next, string) {
 	t.arrivals++
 	if a.HasLoad {
 		t.d.Registrar(func(r *registrar.Registrar) { r.Reported(t.d.clock.Now(), t.choice.Replica.Name, a.Load) })
 	}
 	switch {
 	case a.Refused || a.Elsewhere:
-		stopTimer()
+		patience.stop()
 		t.refusals++
 		// The body of a refusal is short; the connection can serve on after it.
 		_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxRefusalBytes))
@@ -174,23 +165,23 @@
 		t.end(registrar.Refused, "refused by upstream", "status", a.Status)
 		return again, "upstreams are full"
 	case a.Events && a.Status == http.StatusOK:
-		return t.stream(ctx, a, stopTimer)
+		return t.stream(ctx, a, patience)
 	}
-	return t.whole(ctx, a, stopTimer)
+	return t.whole(ctx, a, patience)
 }
 
 // maxRefusalBytes bounds what is read of a refusal's body.
 const maxRefusalBytes = 64 << 10
 
 // whole delivers an answer that is not a stream of events.
-func (t *try) whole(ctx context.Context, a *Answer, stopTimer func() bool) (next, string) {
+func (t *try) whole(ctx context.Context, a *Answer, patience *patience) (next, string) {
 	t.runs++
 	t.count()
 	body, err := io.ReadAll(io.LimitReader(a.Body, int64(t.d.opts.AnswerBytes)+1))
 	if err == nil && len(body) > t.d.opts.AnswerBytes {
 		err = errors.Errorf("answer is longer than %d bytes", t.d.opts.AnswerBytes)
 	}
-	stopTimer()
+	patience.stop()
 	a.Close(err == nil)
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -28,7 +28,9 @@
 type step struct {
 	verdict sequoiasill.Verdict // of an attempt without an answer
 	fail    bool
-	hang    bool // until the attempt is ended
+	hang    bool               // until the attempt is ended
+	after   sequoiasill.Millis // until the answer begins
+	deaf    bool               // to the end of the attempt
 	status  int
 	refused bool
 	forged  bool // not the upstream's own
@@ -62,6 +64,15 @@
 	if s.fail {
 		return nil, sendError{s.verdict}
 	}
+	ended := ctx.Done()
+	if s.deaf {
+		ended = nil
+	}
+	select {
+	case <-ended:
+		return nil, sendError{sequoiasill.MayHaveRun}
+	case <-time.After(s.after.Duration()):
+	}
 	var body io.Reader = strings.NewReader(s.body)
 	if s.broken {
 		body = io.MultiReader(body, brokenReader{})
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"net/http"
 	"slices"
 
@@ -155,6 +154,7 @@
 
 // run makes attempts until one ends the call.
 func (d *Dispatcher) run(ctx context.Context, j *job) {
+	defer d.returnRepeat(j)
 	for {
 		choice, send, ok := d.place(j)
 		if !ok {
@@ -202,12 +202,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	candidates := d.ofVersion(j, d.registrar.Candidates(now, j.service))
-	choice, ok := d.assigner.Choose(assigner.Request{
-		Zone: d.opts.Zone, Engine: j.engine, Prompt: j.call.Prompt, Tried: j.tried,
-	}, candidates)
+	choice, ok := d.choose(now, j)
 	if !ok {
-		d.rationer.Return(j.ration)
 		return choice, nil, false
 	}
 	d.registrar.Sent(choice.Replica.Name, choice.Prefill)
@@ -215,6 +211,20 @@
 	return choice, d.rationer.Sent(now, j.ration, choice.Replica.Name), true
 }
 
+// choose chooses an upstream that has not had the call. The caller holds the lock.
+func (d *Dispatcher) choose(now sequoiasill.Millis, j *job) (assigner.Choice, bool) {
+	return d.assigner.Choose(assigner.Request{
+		Zone: d.opts.Zone, Engine: j.engine, Prompt: j.call.Prompt, Tried: j.tried,
+	}, d.ofVersion(j, d.registrar.Candidates(now, j.service)))
+}
+
+// returnRepeat gives back a repeat that was taken and not sent.
+func (d *Dispatcher) returnRepeat(j *job) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rationer.Return(j.ration)
+}
+
 // mayRepeat reports whether the call may be sent once more.
 func (d *Dispatcher) mayRepeat(j *job) bool {
 	if j.runs >= j.route.MaxAttempts || j.refusals >= d.opts.Refusals {
@@ -224,13 +234,14 @@
 		return true
 	}
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	if j.ration.Granted() {
+		return true
+	}
 	now := d.clock.Now()
 	before := d.rationer.State(now, j.ration)
 	allowed := d.rationer.Repeat(now, j.ration)
-	d.mu.Unlock()
-	d.meter.Repeated(j.service, allowed)
-	d.log.Info("repeat", "request", j.call.ID, "service", j.service, "allowed", allowed, "arrivals", j.arrivals,
-		"left", math.Round(before.Left*100)/100, "open", before.Open, "entries", before.Entries)
+	d.tellRepeat(j, j.arrivals, allowed, before)
 	return allowed
 }
 
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -18,15 +18,15 @@
 
 // stream forwards whole events as they come, so that a stream that breaks off can
 // go on at another upstream after the last one.
-func (t *try) stream(ctx context.Context, a *Answer, stopTimer func() bool) (next, string) {
+func (t *try) stream(ctx context.Context, a *Answer, patience *patience) (next, string) {
 	if !a.Genuine {
 		t.runs++
-		stopTimer()
+		patience.stop()
 		a.Close(false)
 		t.end(registrar.Failed, "stream is not the upstream's")
 		return t.afterRun("stream is not the upstream's")
 	}
-	f := &forward{try: t, answer: a, stopTimer: stopTimer}
+	f := &forward{try: t, answer: a, patience: patience}
 	err := f.copy()
 	t.runs++
 	a.Close(err == nil)
@@ -54,10 +54,10 @@
 type forward struct {
 	*try
 
-	answer    *Answer
-	stopTimer func() bool
-	events    int
-	gone      bool // the caller cannot be written to
+	answer   *Answer
+	patience *patience
+	events   int
+	gone     bool // the caller cannot be written to
 }
 
 // copy forwards until the stream ends, which yields nil, or breaks.
@@ -100,7 +100,7 @@
 // deliver sends whole events to the caller.
 func (f *forward) deliver(b []byte) error {
 	if f.events == 0 {
-		f.stopTimer()
+		f.patience.stop()
 		f.first = f.d.clock.Now() - f.began
 		f.count()
 		f.d.meter.Began(f.d.clock.Now() - f.call.Arrived)
