Refuse a request again after one more crash

Fix: a refusal is recalled for ten minutes after its end; one break refuses the request anew, for twice as long, and a whole answer clears it. So at most one upstream is lost in the second, fourth and eighth minute that follow.

Evidence: the cases "a crash" and "two crashes" of TestRefusedAgainAfterOneMoreCrash fail on the code before (refused false, want true) and pass now.

--- a/decide/blamer/blamer.go
+++ b/decide/blamer/blamer.go
@@ -1,7 +1,7 @@
 // Package blamer finds requests that crash the upstreams that run them, by
 // counting the upstreams that broke off under each before it began to answer. A
 // whole answer clears a request. One under which a few upstreams broke off is
-// refused for a while.
+// refused for a while, and then tried again: another break refuses it for longer.
 //
 // Entries tell a few collectors of what they charge requests with, which add it
 // up: a caller that sends a request again mostly reaches another entry.
@@ -29,15 +29,17 @@
 	Crashes int
 	// ChargeSpan is how long a charge stands without a further one.
 	ChargeSpan sequoiasill.Millis
-	// RefuseSpan is how long a request is refused.
+	// RefuseSpan is how long a request is refused at first, and RecallSpan how long after
+	// its refusal one more break refuses it again, for twice as long.
 	RefuseSpan sequoiasill.Millis
+	RecallSpan sequoiasill.Millis
 	// MostCharges bounds the charges that are kept and told; the latest stay.
 	MostCharges int
 }
 
 // DefaultOptions returns the options that entries use.
 func DefaultOptions() Options {
-	return Options{Crashes: 3, ChargeSpan: 30 * sequoiasill.Second, RefuseSpan: 2 * sequoiasill.Minute, MostCharges: 64}
+	return Options{Crashes: 3, ChargeSpan: 30 * sequoiasill.Second, RefuseSpan: 2 * sequoiasill.Minute, RecallSpan: 10 * sequoiasill.Minute, MostCharges: 64}
 }
 
 // Charge says that an upstream broke off under a request.
@@ -53,12 +55,18 @@
 	opts    Options
 	own     []Charge            // the latest last
 	others  map[string][]Charge // by entry
-	refused map[Fingerprint]sequoiasill.Millis
+	refused map[Fingerprint]refusal
+}
+
+// refusal is that of a request, in force or recalled.
+type refusal struct {
+	until sequoiasill.Millis
+	span  sequoiasill.Millis
 }
 
 // New returns a blamer that charges nothing.
 func New(opts Options) *Blamer {
-	return &Blamer{opts: opts, others: make(map[string][]Charge), refused: make(map[Fingerprint]sequoiasill.Millis)}
+	return &Blamer{opts: opts, others: make(map[string][]Charge), refused: make(map[Fingerprint]refusal)}
 }
 
 // Broke charges a request with an upstream that broke off under it. It returns
@@ -69,8 +77,11 @@
 	return b.judge(now, f)
 }
 
-// Answered clears a request that got a whole answer.
-func (b *Blamer) Answered(f Fingerprint) {
+// Answered clears a request that got a whole answer. A refusal in force stays.
+func (b *Blamer) Answered(now sequoiasill.Millis, f Fingerprint) {
+	if r, known := b.refused[f]; known && r.until <= now {
+		delete(b.refused, f)
+	}
 	if len(b.own) == 0 {
 		return
 	}
@@ -80,6 +91,7 @@
 // Charges returns what this entry charges requests with, to be told.
 func (b *Blamer) Charges(now sequoiasill.Millis) []Charge {
 	b.own = slices.DeleteFunc(b.own, func(c Charge) bool { return now-c.At > b.opts.ChargeSpan })
+	maps.DeleteFunc(b.refused, func(_ Fingerprint, r refusal) bool { return now-r.until > b.opts.RecallSpan })
 	return slices.Clone(b.own)
 }
 
@@ -115,29 +127,34 @@
 			}
 		}
 	}
-	if len(upstreams) < b.opts.Crashes {
+	crashes, span := b.opts.Crashes, b.opts.RefuseSpan
+	if before, recalled := b.refused[f]; recalled {
+		crashes, span = 1, 2*before.span
+	}
+	if len(upstreams) < crashes {
 		return false
 	}
-	b.Refuse(f, now+b.opts.RefuseSpan)
+	b.Refuse(now, f, now+span)
 	return true
 }
 
 // Refuse refuses a request until a time.
-func (b *Blamer) Refuse(f Fingerprint, until sequoiasill.Millis) {
-	b.refused[f] = max(b.refused[f], until)
+func (b *Blamer) Refuse(now sequoiasill.Millis, f Fingerprint, until sequoiasill.Millis) {
+	if until > b.refused[f].until {
+		b.refused[f] = refusal{until: until, span: until - now}
+	}
 }
 
 // Refused returns until when a request is refused, if it is.
 func (b *Blamer) Refused(now sequoiasill.Millis, f Fingerprint) (until sequoiasill.Millis, refused bool) {
-	until, known := b.refused[f]
-	if known && until <= now {
-		delete(b.refused, f)
+	r, known := b.refused[f]
+	if !known || r.until <= now {
 		return 0, false
 	}
-	return until, known
+	return r.until, true
 }
 
-// Culprits returns the requests that are refused, sorted.
+// Culprits returns the requests that are refused or recalled, sorted.
 func (b *Blamer) Culprits() []Fingerprint {
 	return slices.SortedFunc(maps.Keys(b.refused), cmp.Compare)
 }
--- a/decide/blamer/blamer_test.go
+++ b/decide/blamer/blamer_test.go
@@ -42,7 +42,7 @@
 		"an answer between": {func(b *blamer.Blamer) {
 			b.Broke(0, culprit, 1)
 			b.Broke(second, culprit, 2)
-			b.Answered(culprit)
+			b.Answered(2*second, culprit)
 			b.Broke(2*second, culprit, 3)
 		}, false},
 		"an answer at another entry between": {func(b *blamer.Blamer) {
@@ -94,6 +94,36 @@
 	}
 }
 
+// A request that comes again after its refusal is tried once: a crash under it brings a
+// refusal that is twice as long, a whole answer clears it.
+func TestRefusedAgainAfterOneMoreCrash(t *testing.T) {
+	const minute = sequoiasill.Minute
+	tests := map[string]struct {
+		play func(b *blamer.Blamer)
+		at   sequoiasill.Millis
+		want bool
+	}{
+		"tried again":     {func(*blamer.Blamer) {}, 2 * minute, false},
+		"a crash":         {func(b *blamer.Blamer) { b.Broke(2*minute, culprit, 4) }, 6*minute - 1, true},
+		"its end":         {func(b *blamer.Blamer) { b.Broke(2*minute, culprit, 4) }, 6 * minute, false},
+		"two crashes":     {func(b *blamer.Blamer) { b.Broke(2*minute, culprit, 4); b.Broke(6*minute, culprit, 5) }, 14*minute - 1, true},
+		"an answer":       {func(b *blamer.Blamer) { b.Answered(2*minute, culprit); b.Broke(2*minute, culprit, 4) }, 2 * minute, false},
+		"long afterwards": {func(b *blamer.Blamer) { b.Charges(20 * minute); b.Broke(20*minute, culprit, 4) }, 20 * minute, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := blamer.New(blamer.DefaultOptions())
+			for upstream := range uint64(3) {
+				b.Broke(0, culprit, upstream)
+			}
+			tc.play(b)
+			if _, refused := b.Refused(tc.at, culprit); refused != tc.want {
+				t.Errorf("refused %t, want %t", refused, tc.want)
+			}
+		})
+	}
+}
+
 // A day on which upstreams lose answers: each request has its own fingerprint and is
 // tried twice, and its caller sends it once more. None is refused, and what is told
 // stays small.
@@ -107,7 +137,7 @@
 			b.Broke(now, f, uint64(i%9))
 			b.Broke(now+50, f, uint64(i%9+1))
 		}
-		b.Answered(f)
+		b.Answered(now, f)
 		if n := len(b.Charges(now)); n > opts.MostCharges {
 			t.Fatalf("%d charges are told", n)
 		}
--- a/relay/dispatcher/blame.go
+++ b/relay/dispatcher/blame.go
@@ -65,7 +65,7 @@
 func (t *try) answered() {
 	t.d.mu.Lock()
 	defer t.d.mu.Unlock()
-	t.d.blamer.Answered(t.print)
+	t.d.blamer.Answered(t.d.clock.Now(), t.print)
 }
 
 // Charges returns the upstreams that broke off under calls here.
@@ -97,6 +97,7 @@
 func (d *Dispatcher) Refuse(f blamer.Fingerprint, until sequoiasill.Millis) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.blamer.Refuse(f, until)
-	d.log.Info("request crashes upstreams", "fingerprint", uint64(f), "refused", until-d.clock.Now(), "source", "gossip")
+	now := d.clock.Now()
+	d.blamer.Refuse(now, f, until)
+	d.log.Info("request crashes upstreams", "fingerprint", uint64(f), "refused", until-now, "source", "gossip")
 }
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -113,7 +113,7 @@
 func (e *entry) Refuse(f blamer.Fingerprint, until sequoiasill.Millis) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.blamer.Refuse(f, until)
+	e.blamer.Refuse(sequoiasill.NewSystemClock().Now(), f, until)
 }
 
 func (e *entry) ForgetTotals() {}
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -34,16 +34,7 @@
 	{"kill an entry", false, func(w *World, _ time.Duration) {
 		w.withEntry(func(e *entry) { e.restart(e.signal(syscall.SIGKILL), 300*time.Millisecond) })
 	}},
-	{killAll, false, func(w *World, _ time.Duration) {
-		var gone []<-chan struct{}
-		for _, e := range w.entries {
-			gone = append(gone, e.signal(syscall.SIGKILL))
-		}
-		time.Sleep(200 * time.Millisecond)
-		for i, e := range w.entries {
-			w.withOne("entry", e.number, func() { e.restart(gone[i], 0) })
-		}
-	}},
+	{killAll, false, (*World).killAll},
 	{"pause an entry", false, func(w *World, span time.Duration) {
 		w.withEntry(func(e *entry) { e.signal(syscall.SIGSTOP); time.Sleep(span); e.signal(syscall.SIGCONT) })
 	}},
@@ -132,6 +123,18 @@
 	return list, longest
 }
 
+// killAll kills all entries at the same moment and starts them again soon.
+func (w *World) killAll(time.Duration) {
+	var gone []<-chan struct{}
+	for _, e := range w.entries {
+		gone = append(gone, e.signal(syscall.SIGKILL))
+	}
+	time.Sleep(200 * time.Millisecond)
+	for i, e := range w.entries {
+		w.withOne("entry", e.number, func() { e.restart(gone[i], 0) })
+	}
+}
+
 // withOne runs f unless another fault has hold of the thing.
 func (w *World) withOne(what string, number int, f func()) {
 	name := fmt.Sprint(what, number)
--- a/standin/soaker/storms.go
+++ b/standin/soaker/storms.go
@@ -15,8 +15,8 @@
 // storms are the faults under which many calls are wanted to be sent again, and those
 // that change who shares the bound.
 var storms = []fault{
-	{"freeze some of a service", false, func(w *World, span time.Duration) { w.freeze(w.some(), span) }},
-	{freezeService, false, func(w *World, span time.Duration) { w.freeze(w.all(), span) }},
+	{"freeze some of a service", false, func(w *World, span time.Duration) { w.trouble(w.some(), freeze, span) }},
+	{freezeService, false, func(w *World, span time.Duration) { w.trouble(w.all(), freeze, span) }},
 	{"fail calls of a service", false, func(w *World, span time.Duration) {
 		each(w.all(), span, func(r *replica, on bool) { r.fail.Store(perMille(450, on)) })
 	}},
@@ -30,6 +30,15 @@
 		each(w.all(), span, func(r *replica, on bool) { r.slow.Store(perMille(800, on)) })
 	}},
 	{"send a request that may repeat and crashes replicas", false, func(w *World, _ time.Duration) { w.crashWith(read) }},
+	{"send a stream that crashes replicas", false, func(w *World, _ time.Duration) { w.crashWith(resumable) }},
+	{"cut the answers of a service", false, func(w *World, span time.Duration) { w.trouble(w.all(), oneWay, span) }},
+	{"silence some of a service", false, func(w *World, span time.Duration) { w.trouble(w.some(), silence, span) }},
+	{"reset the connections of a service", false, func(w *World, _ time.Duration) {
+		for _, r := range w.all() {
+			r.proxy.reset()
+		}
+	}},
+	{killAll, false, (*World).killAll},
 	{"pause some entries", false, (*World).pauseSome},
 	{"kill some entries", false, (*World).killSome},
 	{"stop an entry", true, func(w *World, _ time.Duration) {
@@ -56,12 +65,12 @@
 	}
 }
 
-// freeze lets replicas stand still: what is sent to them meanwhile comes to them at the
-// end.
-func (w *World) freeze(replicas []*replica, span time.Duration) {
+// trouble harms the ways to replicas for a span. What is sent to one that stands still
+// comes to it at the end.
+func (w *World) trouble(replicas []*replica, t trouble, span time.Duration) {
 	each(replicas, span, func(r *replica, on bool) {
 		if on {
-			r.proxy.set(freeze)
+			r.proxy.set(t)
 			return
 		}
 		r.proxy.set(none)
