Count calls anew when a reload makes the window of repeats longer

Seen in review, not by callers: the slots of the counter that says how many repeats a ration may hold are numbered by the window's length. After a reload to a longer window the numbers are lower than before, so no slot was cleared any more and the count grew for ever.

Evidence: TestLongerWindowKeepsTheBound failed before (above 258 repeats left after a reload from 5 to 10 s and 10,000 calls); it passes now.

--- a/decide/rationer/counter.go
+++ b/decide/rationer/counter.go
@@ -12,13 +12,16 @@
 	slot   sequoiasill.Millis // number of the present slot since the epoch
 }
 
-// turn clears the slots that have passed.
+// turn clears the slots that have passed, and all where the window has become longer.
 func (c *counter) turn(now, window sequoiasill.Millis) {
 	slot := now / max(window/counterSlots, 1)
+	if slot < c.slot {
+		*c = counter{}
+	}
 	for n := max(c.slot+1, slot-counterSlots+1); n <= slot; n++ {
 		c.counts[n%counterSlots] = 0
 	}
-	c.slot = max(c.slot, slot)
+	c.slot = slot
 }
 
 func (c *counter) add(now, window sequoiasill.Millis) {
--- a/decide/rationer/rationer_test.go
+++ b/decide/rationer/rationer_test.go
@@ -87,3 +87,21 @@
 		t.Error("a service spends the ration of another")
 	}
 }
+
+// A reload may make the window longer; what the ration holds still follows from the calls
+// of the last window.
+func TestLongerWindowKeepsTheBound(t *testing.T) {
+	r := rationer.New(rationer.Limits{Ratio: 0.2, Slack: 58, Window: 5 * sequoiasill.Second}, 1)
+	const start = 1_800_000_000_000
+	r.Call(start, "model")
+	r.SetLimits(limits)
+	const pace, calls = 10, 10_000 // milliseconds between calls, number of calls
+	var c *rationer.Call
+	for i := range sequoiasill.Millis(calls) {
+		c = r.Call(start+i*pace, "model")
+	}
+	allowed := limits.Ratio*float64(limits.Window/pace) + limits.Slack
+	if left := r.State(start+calls*pace, c).Left; left > allowed {
+		t.Errorf("%.0f repeats are left, %.0f are allowed in a window", left, allowed)
+	}
+}
