--- a/decide/rationer/rationer.go
+++ b/decide/rationer/rationer.go
@@ -140,6 +140,15 @@
 	return State{Left: c.ration.left, Open: c.ration.open, Entries: r.entries}
 }
 
+// Open returns the repeats of all services that may still come to an upstream.
+func (r *Rationer) Open() int {
+	n := 0
+	for _, q := range r.rations {
+		n += q.open
+	}
+	return n
+}
+
 // Repeat takes a repeat from the ration of a call's service. It returns false if none
 // is left. Sent or Return must follow.
 func (r *Rationer) Repeat(now sequoiasill.Millis, c *Call) bool {
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -192,6 +192,13 @@
 	d.allotter.SetEntries(n)
 }
 
+// OpenRepeats returns the number of repeats that may still come to an upstream.
+func (d *Dispatcher) OpenRepeats() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rationer.Open()
+}
+
 // SetLimits replaces the bounds of allowances and repeats.
 func (d *Dispatcher) SetLimits(allowances allotter.Limits, repeats rationer.Limits) {
 	d.mu.Lock()
