Name the give-up timer and abandoned sends; one type for the limits on repeats

Read as a newcomer would: patience and left stood for a timer and for sends whose answer is not awaited; the auditor had a copy of the ration's limits. Names and one type only, no behaviour; the tests keep their assertions.

--- a/cmd/internal/explainer/repeats.go
+++ b/cmd/internal/explainer/repeats.go
@@ -12,6 +12,7 @@
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/auditor"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
 // Repeats is what the logs of all entries tell of requests that were sent more than
@@ -99,7 +100,7 @@
 
 // Write prints for each service what became of the wishes, and the window that used the
 // largest part of the bound.
-func (r *Repeats) Write(w io.Writer, bound auditor.Bound) error {
+func (r *Repeats) Write(w io.Writer, bound rationer.Limits) error {
 	var b strings.Builder
 	for _, service := range slices.Sorted(maps.Keys(r.services)) {
 		s := r.services[service]
--- a/cmd/internal/explainer/repeats_test.go
+++ b/cmd/internal/explainer/repeats_test.go
@@ -8,7 +8,7 @@
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/cmd/internal/explainer"
-	"sequoiasill.dev/sequoiasill/decide/auditor"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
 // r1 is given up at one upstream and answered by the next; r2 finds one that cannot be
@@ -28,7 +28,7 @@
 		t.Fatal(err)
 	}
 	var b strings.Builder
-	if err := explainer.FindRepeats(lines).Write(&b, auditor.Bound{Ratio: 0.2, Window: 10 * sequoiasill.Second}); err != nil {
+	if err := explainer.FindRepeats(lines).Write(&b, rationer.Limits{Ratio: 0.2, Window: 10 * sequoiasill.Second}); err != nil {
 		t.Fatal(err)
 	}
 	want := `model: 3 requests, 1 repeats allowed, 1 not allowed, 1 attempts given up, bound shared by 6 to 9 entries
--- a/cmd/sequoiactl/repeats.go
+++ b/cmd/sequoiactl/repeats.go
@@ -6,7 +6,7 @@
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/cmd/internal/explainer"
 	"sequoiasill.dev/sequoiasill/cmd/internal/launcher"
-	"sequoiasill.dev/sequoiasill/decide/auditor"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
 const repeatsHelp = `Tell from the logs of all entries how many requests of each service were sent
@@ -14,7 +14,7 @@
 
 func repeatsCommand(app *kingpin.Application, t *tool) (string, func() int) {
 	cmd := app.Command("repeats", repeatsHelp)
-	b := auditor.Bound{Window: 10 * sequoiasill.Second}
+	b := rationer.Limits{Window: 10 * sequoiasill.Second}
 	cmd.Flag("ratio", "Repeats allowed for each request (retryBudgetRatio).").Default("0.2").Float64Var(&b.Ratio)
 	cmd.Flag("slack", "Repeats allowed beyond, in each window (budgetSlack).").Default("58").Float64Var(&b.Slack)
 	cmd.Flag("window", "Length of a window (retryWindowS).").Default(b.Window.Duration().String()).SetValue(launcher.Span{Target: &b.Window})
--- a/decide/auditor/auditor.go
+++ b/decide/auditor/auditor.go
@@ -1,4 +1,4 @@
-// Package auditor checks the history of a run against the bound on repeats: in every
+// Package auditor checks the history of a run against the limits on repeats: in every
 // window of time, each service may get a part of its requests and a slack beyond as
 // sends that are not the first of their request.
 //
@@ -11,15 +11,9 @@
 	"slices"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
-// Bound is what is allowed in each window.
-type Bound struct {
-	Ratio  float64 // repeats for each request
-	Slack  float64 // and beyond
-	Window sequoiasill.Millis
-}
-
 // Window is a span of time with what happened in it.
 type Window struct {
 	Service  string
@@ -84,10 +78,9 @@
 }
 
 // Worst returns for each service with a repeat the window that used the largest part of
-// its bound, by service. The requests that count are those of the
-// window, of the one before it or of the one half a window before it, whichever has
-// most.
-func (a *Auditor) Worst(b Bound) []Window {
+// its bound, by service. The requests that count are those of the window, of the one before
+// it or of the one half a window before it, whichever has most.
+func (a *Auditor) Worst(b rationer.Limits) []Window {
 	var out []Window
 	for _, name := range slices.Sorted(maps.Keys(a.services)) {
 		h := a.services[name]
@@ -102,7 +95,7 @@
 }
 
 // worst looks at the windows that begin or end with a repeat.
-func (h *history) worst(b Bound) (worst Window, ok bool) {
+func (h *history) worst(b rationer.Limits) (worst Window, ok bool) {
 	for _, at := range h.repeats {
 		for _, begin := range []sequoiasill.Millis{at, at - b.Window + 1} {
 			if w := h.window(b, begin); !ok || w.Used() > worst.Used() {
@@ -113,7 +106,7 @@
 	return worst, ok
 }
 
-func (h *history) window(b Bound, begin sequoiasill.Millis) Window {
+func (h *history) window(b rationer.Limits, begin sequoiasill.Millis) Window {
 	w := Window{Begin: begin, End: begin + b.Window, Repeats: count(h.repeats, begin, begin+b.Window)}
 	for _, earlier := range []sequoiasill.Millis{0, b.Window / 2, b.Window} {
 		w.Requests = max(w.Requests, count(h.requests, begin-earlier, begin-earlier+b.Window))
--- a/decide/auditor/auditor_test.go
+++ b/decide/auditor/auditor_test.go
@@ -8,11 +8,12 @@
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/auditor"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
 const second = sequoiasill.Second
 
-var bound = auditor.Bound{Ratio: 0.2, Slack: 3, Window: 10 * second}
+var bound = rationer.Limits{Ratio: 0.2, Slack: 3, Window: 10 * second}
 
 // requests notes requests a second apart, and that each arrives at once.
 func requests(a *auditor.Auditor, n int) {
--- a/decide/rationer/late_test.go
+++ b/decide/rationer/late_test.go
@@ -29,7 +29,7 @@
 	s := r.Sent(w.now, c, strconv.Itoa(upstream))
 	if w.frozen[upstream] {
 		w.waiting[upstream] = append(w.waiting[upstream], id)
-		r.Ended(s, rationer.Left)
+		r.Ended(s, rationer.Abandoned)
 		return false
 	}
 	w.history.Arrived(w.now, "model", id)
@@ -95,7 +95,7 @@
 				w.turn(u)
 			}
 		}
-		for _, v := range w.history.Worst(auditor.Bound(limits)) {
+		for _, v := range w.history.Worst(limits) {
 			if v.Used() > 1 {
 				t.Fatalf("%d repeats come from %s on, %.1f are allowed for %d calls", v.Repeats, v.Begin, v.Allowed, v.Requests)
 			}
@@ -131,23 +131,23 @@
 		}, 200, 0},
 		"still waiting": {func(r *rationer.Rationer, c *rationer.Call) { r.Sent(100, c, "i-2") }, 200, 1},
 		"given up": {func(r *rationer.Rationer, c *rationer.Call) {
-			r.Ended(r.Sent(100, c, "i-2"), rationer.Left)
+			r.Ended(r.Sent(100, c, "i-2"), rationer.Abandoned)
 		}, 200, 1},
 		"given up, and a later call is answered there": {func(r *rationer.Rationer, c *rationer.Call) {
-			r.Ended(r.Sent(100, c, "i-2"), rationer.Left)
+			r.Ended(r.Sent(100, c, "i-2"), rationer.Abandoned)
 			r.Ended(r.Sent(101, r.Call(101, "model"), "i-2"), rationer.Answered)
 		}, 200, 0},
 		"given up, and an earlier call is answered there": {func(r *rationer.Rationer, c *rationer.Call) {
 			earlier := r.Sent(99, r.Call(99, "model"), "i-2")
-			r.Ended(r.Sent(100, c, "i-2"), rationer.Left)
+			r.Ended(r.Sent(100, c, "i-2"), rationer.Abandoned)
 			r.Ended(earlier, rationer.Answered)
 		}, 200, 1},
 		"given up, and a later call is answered elsewhere": {func(r *rationer.Rationer, c *rationer.Call) {
-			r.Ended(r.Sent(100, c, "i-2"), rationer.Left)
+			r.Ended(r.Sent(100, c, "i-2"), rationer.Abandoned)
 			r.Ended(r.Sent(101, r.Call(101, "model"), "i-3"), rationer.Answered)
 		}, 200, 1},
 		"given up two windows ago": {func(r *rationer.Rationer, c *rationer.Call) {
-			r.Ended(r.Sent(100, c, "i-2"), rationer.Left)
+			r.Ended(r.Sent(100, c, "i-2"), rationer.Abandoned)
 		}, 20_101, 0},
 	}
 	for name, tc := range tests {
--- a/decide/rationer/rationer.go
+++ b/decide/rationer/rationer.go
@@ -35,8 +35,8 @@
 	standingPart = 0.5
 )
 
-// lateWindows is how many windows a send is waited for of which nothing is known: a
-// fault lasts seconds, and what comes later than this is rare and little.
+// lateWindows is how many windows an abandoned send may still come in: faults of the
+// platform last seconds, and what comes later than this is rare and little.
 const lateWindows = 2
 
 // Rationer holds an entry's rations. It is not safe for concurrent use.
@@ -44,8 +44,9 @@
 	limits  Limits
 	entries int
 	rations map[string]*ration // by service
-	unknown map[string][]*Send // that were left, by upstream, the latest last
-	swept   sequoiasill.Millis
+	// abandoned are the sends of which nothing is known since, by upstream, the latest last.
+	abandoned map[string][]*Send
+	swept     sequoiasill.Millis
 }
 
 // ration is what an entry may spend on a service. What is left and what is open
@@ -77,16 +78,16 @@
 
 // The ends of a send.
 const (
-	Answered End = iota // the upstream answered it
-	Closed              // it was not sent, or the upstream closed the connection
-	Left                // its answer is not awaited; it may still come to the upstream
+	Answered  End = iota // the upstream answered it
+	Closed               // it was not sent, or the upstream closed the connection
+	Abandoned            // its answer is not awaited; it may still come to the upstream
 )
 
 // New returns a rationer for one of a number of entries.
 func New(limits Limits, entries int) *Rationer {
 	return &Rationer{
 		limits: limits, entries: max(entries, 1),
-		rations: make(map[string]*ration), unknown: make(map[string][]*Send),
+		rations: make(map[string]*ration), abandoned: make(map[string][]*Send),
 	}
 }
 
@@ -185,8 +186,8 @@
 // Ended tells how a send ended. An answer shows that what was sent to the upstream
 // before has come to it too.
 func (r *Rationer) Ended(s *Send, e End) {
-	if e == Left {
-		r.unknown[s.upstream] = append(r.unknown[s.upstream], s)
+	if e == Abandoned {
+		r.abandoned[s.upstream] = append(r.abandoned[s.upstream], s)
 		return
 	}
 	s.settle()
@@ -206,20 +207,20 @@
 	}
 }
 
-// forget settles the unknown sends to an upstream for which f is true.
+// forget settles the abandoned sends to an upstream for which f is true.
 func (r *Rationer) forget(upstream string, f func(*Send) bool) {
-	kept := r.unknown[upstream][:0]
-	for _, s := range r.unknown[upstream] {
+	kept := r.abandoned[upstream][:0]
+	for _, s := range r.abandoned[upstream] {
 		if f(s) {
 			s.settle()
 			continue
 		}
 		kept = append(kept, s)
 	}
-	clear(r.unknown[upstream][len(kept):])
-	r.unknown[upstream] = kept
+	clear(r.abandoned[upstream][len(kept):])
+	r.abandoned[upstream] = kept
 	if len(kept) == 0 {
-		delete(r.unknown, upstream)
+		delete(r.abandoned, upstream)
 	}
 }
 
@@ -232,7 +233,7 @@
 		return
 	}
 	r.swept = now
-	for upstream := range r.unknown {
+	for upstream := range r.abandoned {
 		r.forget(upstream, func(s *Send) bool { return now-s.at > lateWindows*r.limits.Window })
 	}
 }
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -58,16 +58,16 @@
 	if j.account != nil {
 		a.Organisation = j.account.Name
 	}
-	patience := newPatience(t)
-	defer patience.stop()
+	timer := newGiveUpTimer(t)
+	defer timer.stop()
 	answer, err := d.courier.Send(actx, a)
 	if err != nil {
-		patience.stop()
+		timer.stop()
 		d.sendEnded(send, endOf(actx, err))
 		return t.failed(actx, err)
 	}
 	d.sendEnded(send, rationer.Answered)
-	return t.judge(actx, answer, patience)
+	return t.judge(actx, answer, timer)
 }
 
 // endOf returns how a send without an answer ended: what was written may still come to
@@ -78,7 +78,7 @@
 	case Verdict(err) == sequoiasill.NotRun:
 		return rationer.Closed
 	case ctx.Err() != nil, errors.As(err, &timeout) && timeout.Timeout():
-		return rationer.Left
+		return rationer.Abandoned
 	}
 	return rationer.Closed
 }
@@ -150,14 +150,14 @@
 }
 
 // judge takes in an answer.
-func (t *try) judge(ctx context.Context, a *Answer, patience *patience) (next, string) {
+func (t *try) judge(ctx context.Context, a *Answer, timer *giveUpTimer) (next, string) {
 	t.arrivals++
 	if a.HasLoad {
 		t.d.Registrar(func(r *registrar.Registrar) { r.Reported(t.d.clock.Now(), t.choice.Replica.Name, a.Load) })
 	}
 	switch {
 	case a.Refused || a.Elsewhere:
-		patience.stop()
+		timer.stop()
 		t.refusals++
 		// The body of a refusal is short; the connection can serve on after it.
 		_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxRefusalBytes))
@@ -165,23 +165,23 @@
 		t.end(registrar.Refused, "refused by upstream", "status", a.Status)
 		return again, "upstreams are full"
 	case a.Events && a.Status == http.StatusOK:
-		return t.stream(ctx, a, patience)
+		return t.stream(ctx, a, timer)
 	}
-	return t.whole(ctx, a, patience)
+	return t.whole(ctx, a, timer)
 }
 
 // maxRefusalBytes bounds what is read of a refusal's body.
 const maxRefusalBytes = 64 << 10
 
 // whole delivers an answer that is not a stream of events.
-func (t *try) whole(ctx context.Context, a *Answer, patience *patience) (next, string) {
+func (t *try) whole(ctx context.Context, a *Answer, timer *giveUpTimer) (next, string) {
 	t.runs++
 	t.count()
 	body, err := io.ReadAll(io.LimitReader(a.Body, int64(t.d.opts.AnswerBytes)+1))
 	if err == nil && len(body) > t.d.opts.AnswerBytes {
 		err = errors.Errorf("answer is longer than %d bytes", t.d.opts.AnswerBytes)
 	}
-	patience.stop()
+	timer.stop()
 	a.Close(err == nil)
 	switch {
 	case errors.Is(context.Cause(ctx), context.Canceled):
--- a/relay/dispatcher/end_test.go
+++ b/relay/dispatcher/end_test.go
@@ -29,9 +29,9 @@
 		"not sent":                   {context.Background(), notSent{io.EOF}, rationer.Closed},
 		"not sent before the end":    {ended, notSent{io.EOF}, rationer.Closed},
 		"closed by the upstream":     {context.Background(), errors.Trace(io.EOF), rationer.Closed},
-		"no acknowledgement":         {context.Background(), errors.Trace(os.ErrDeadlineExceeded), rationer.Left},
-		"given up":                   {ended, errors.Trace(io.EOF), rationer.Left},
-		"given up and not confirmed": {ended, errors.Trace(os.ErrDeadlineExceeded), rationer.Left},
+		"no acknowledgement":         {context.Background(), errors.Trace(os.ErrDeadlineExceeded), rationer.Abandoned},
+		"given up":                   {ended, errors.Trace(io.EOF), rationer.Abandoned},
+		"given up and not confirmed": {ended, errors.Trace(os.ErrDeadlineExceeded), rationer.Abandoned},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/relay/dispatcher/giveup.go
+++ b/relay/dispatcher/giveup.go
@@ -12,9 +12,9 @@
 // slow answer. A ration fills within seconds, and callers do not notice less.
 const lookAgainSpan = 50 * sequoiasill.Millis(1)
 
-// patience ends an attempt whose answer does not begin in time, once the call can be sent
-// elsewhere.
-type patience struct {
+// giveUpTimer ends an attempt whose answer does not begin in time, once the call can be
+// sent elsewhere.
+type giveUpTimer struct {
 	try   *try
 	span  sequoiasill.Millis
 	timer *time.Timer
@@ -25,62 +25,62 @@
 	denied bool // no repeat was left at the first look
 }
 
-// newPatience starts to wait where the call may be repeated and there is time for this
+// newGiveUpTimer starts a timer where the call may be repeated and there is time for this
 // attempt and another one. Stop must be called when the answer begins or the attempt ends.
-func newPatience(t *try) *patience {
-	p := &patience{try: t, span: t.route.Latency * sequoiasill.Millis(t.d.opts.GiveUpPart) / 100}
-	if !t.route.MayRepeat() || t.runs+1 >= t.route.MaxAttempts || p.span <= 0 || t.deadline-t.began < 2*p.span {
-		p.over = true
-		return p
+func newGiveUpTimer(t *try) *giveUpTimer {
+	g := &giveUpTimer{try: t, span: t.route.Latency * sequoiasill.Millis(t.d.opts.GiveUpPart) / 100}
+	if !t.route.MayRepeat() || t.runs+1 >= t.route.MaxAttempts || g.span <= 0 || t.deadline-t.began < 2*g.span {
+		g.over = true
+		return g
 	}
 	t.d.mu.Lock()
 	defer t.d.mu.Unlock()
-	p.timer = time.AfterFunc(p.span.Duration(), p.look)
-	return p
+	g.timer = time.AfterFunc(g.span.Duration(), g.look)
+	return g
 }
 
 // stop ends the waiting.
-func (p *patience) stop() {
-	d := p.try.d
+func (g *giveUpTimer) stop() {
+	d := g.try.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !p.over {
-		p.over = true
-		p.timer.Stop()
+	if !g.over {
+		g.over = true
+		g.timer.Stop()
 	}
 }
 
 // look gives the attempt up if there is an upstream that has not had the call and a
 // repeat is left, which it takes. Else it looks again later.
-func (p *patience) look() {
-	t, d := p.try, p.try.d
+func (g *giveUpTimer) look() {
+	t, d := g.try, g.try.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	if p.over || t.deadline-now < p.span {
+	if g.over || t.deadline-now < g.span {
 		return
 	}
-	if _, ok := d.choose(now, t.job); !ok || !p.takeRepeat(now) {
-		if !p.late {
-			p.late = true
+	if _, ok := d.choose(now, t.job); !ok || !g.takeRepeat(now) {
+		if !g.late {
+			g.late = true
 			d.registrar.Late(now, t.choice.Replica.Name)
 		}
-		p.timer.Reset(lookAgainSpan.Duration())
+		g.timer.Reset(lookAgainSpan.Duration())
 		return
 	}
-	p.over = true
+	g.over = true
 	t.cancel(errGivenUp)
 }
 
 // takeRepeat takes a repeat for the call. That none is left is told once.
-func (p *patience) takeRepeat(now sequoiasill.Millis) bool {
-	t := p.try
+func (g *giveUpTimer) takeRepeat(now sequoiasill.Millis) bool {
+	t := g.try
 	before := t.d.rationer.State(now, t.ration)
 	allowed := t.d.rationer.Repeat(now, t.ration)
-	if allowed || !p.denied {
+	if allowed || !g.denied {
 		t.d.tellRepeat(t.job, t.arrivalsThen+1, allowed, before)
 	}
-	p.denied = !allowed
+	g.denied = !allowed
 	return allowed
 }
 
--- a/relay/dispatcher/late_test.go
+++ b/relay/dispatcher/late_test.go
@@ -48,10 +48,10 @@
 
 // Upstreams stand still for two windows; what was sent meanwhile comes to them at once.
 func TestLateArrivalsStayWithinTheBoundOnRepeats(t *testing.T) {
-	bound := auditor.Bound{Ratio: 0.2, Slack: 20, Window: sequoiasill.Second}
+	bound := rationer.Limits{Ratio: 0.2, Slack: 20, Window: sequoiasill.Second}
 	clock := sequoiasill.NewSystemClock()
 	f := &frozen{history: auditor.New(), clock: clock}
-	d := newDispatcherWith(f, &usage{began: make(map[string]int)}, rationer.New(rationer.Limits(bound), 1), hclog.NewNullLogger())
+	d := newDispatcherWith(f, &usage{began: make(map[string]int)}, rationer.New(bound, 1), hclog.NewNullLogger())
 	const pace = 5 * time.Millisecond
 	calls := int(3 * bound.Window.Duration() / pace)
 	tick := time.NewTicker(pace)
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -18,15 +18,15 @@
 
 // stream forwards whole events as they come, so that a stream that breaks off can
 // go on at another upstream after the last one.
-func (t *try) stream(ctx context.Context, a *Answer, patience *patience) (next, string) {
+func (t *try) stream(ctx context.Context, a *Answer, timer *giveUpTimer) (next, string) {
 	if !a.Genuine {
 		t.runs++
-		patience.stop()
+		timer.stop()
 		a.Close(false)
 		t.end(registrar.Failed, "stream is not the upstream's")
 		return t.afterRun("stream is not the upstream's")
 	}
-	f := &forward{try: t, answer: a, patience: patience}
+	f := &forward{try: t, answer: a, timer: timer}
 	err := f.copy()
 	t.runs++
 	a.Close(err == nil)
@@ -54,10 +54,10 @@
 type forward struct {
 	*try
 
-	answer   *Answer
-	patience *patience
-	events   int
-	gone     bool // the caller cannot be written to
+	answer *Answer
+	timer  *giveUpTimer
+	events int
+	gone   bool // the caller cannot be written to
 }
 
 // copy forwards until the stream ends, which yields nil, or breaks.
@@ -100,7 +100,7 @@
 // deliver sends whole events to the caller.
 func (f *forward) deliver(b []byte) error {
 	if f.events == 0 {
-		f.patience.stop()
+		f.timer.stop()
 		f.first = f.d.clock.Now() - f.began
 		f.count()
 		f.d.meter.Began(f.d.clock.Now() - f.call.Arrived)
--- a/standin/soaker/budget.go
+++ b/standin/soaker/budget.go
@@ -5,6 +5,7 @@
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/auditor"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
 // What is allowed of the other parts of the rule on repeats.
@@ -25,7 +26,7 @@
 // budget judges how often and with which time limits calls come to upstreams. Times are
 // those of one clock. It is not safe for concurrent use.
 type budget struct {
-	bound auditor.Bound
+	bound rationer.Limits
 	audit *auditor.Auditor
 	calls map[string]*charge
 	late  int // sends of a call that came later than limitSlack after its first
@@ -43,7 +44,7 @@
 	end      sequoiasill.Millis // of the time limit that it had then
 }
 
-func newBudget(bound auditor.Bound) *budget {
+func newBudget(bound rationer.Limits) *budget {
 	return &budget{bound: bound, audit: auditor.New(), calls: make(map[string]*charge)}
 }
 
--- a/standin/soaker/budget_test.go
+++ b/standin/soaker/budget_test.go
@@ -9,14 +9,14 @@
 	"github.com/google/go-cmp/cmp"
 
 	"sequoiasill.dev/sequoiasill"
-	"sequoiasill.dev/sequoiasill/decide/auditor"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
 const second = sequoiasill.Second
 
 // The judge finds entries that break a part of the rule, and none that keep to it.
 func TestBudget(t *testing.T) {
-	bound := auditor.Bound{Ratio: 0.2, Slack: 4, Window: 10 * second}
+	bound := rationer.Limits{Ratio: 0.2, Slack: 4, Window: 10 * second}
 	// calls sends calls at the same time, each of which comes to an upstream at once.
 	calls := func(b *budget, n int) {
 		for i := range n {
@@ -97,7 +97,7 @@
 
 // What is sent to an upstream that stands still comes to it later, whole and in order.
 func TestFreezeKeepsWhatIsSent(t *testing.T) {
-	j := newJudge(auditor.Bound{Window: second})
+	j := newJudge(rationer.Limits{Window: second})
 	r, err := newReplica("i-1", plain, "", j, func(*replica) {})
 	if err != nil {
 		t.Fatal(err)
--- a/standin/soaker/judge.go
+++ b/standin/soaker/judge.go
@@ -8,6 +8,7 @@
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/auditor"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
 // kind is a kind of call.
@@ -72,7 +73,7 @@
 	Fullest                           []auditor.Window // of the bound on repeats, by service
 }
 
-func newJudge(repeats auditor.Bound) *judge {
+func newJudge(repeats rationer.Limits) *judge {
 	return &judge{
 		calls: make(map[string]*record), budget: newBudget(repeats), revoked: make(map[string]time.Time), leaving: make(map[string]time.Time), crashes: make(map[string]*crashes),
 		counts: Counts{Events: make(map[string]int)},
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -17,7 +17,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"sequoiasill.dev/sequoiasill/decide/auditor"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/standin/store"
 )
 
@@ -32,13 +32,13 @@
 	Replicas int // of a plain service
 	Engines  int // replicas of a service of streams
 	Callers  int
-	Rate     float64       // calls a second of all callers
-	Planned  bool          // planned work only
-	Storm    bool          // faults under which calls are wanted to be sent again
-	Only     string        // name of the only fault to play, empty for all
-	Repeats  auditor.Bound // on repeats, as the settings of the entries name it
-	Binary   string        // of the entry
-	Dir      string        // for settings and logs
+	Rate     float64         // calls a second of all callers
+	Planned  bool            // planned work only
+	Storm    bool            // faults under which calls are wanted to be sent again
+	Only     string          // name of the only fault to play, empty for all
+	Repeats  rationer.Limits // on repeats, as the settings of the entries name it
+	Binary   string          // of the entry
+	Dir      string          // for settings and logs
 }
 
 // settleSpan is how long traffic goes on without faults at the end.
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"sequoiasill.dev/sequoiasill"
-	"sequoiasill.dev/sequoiasill/decide/auditor"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/standin/soaker"
 )
 
@@ -45,7 +45,7 @@
 	play(t, soaker.Options{
 		Seed: 3, Span: 12 * time.Second, Storm: true, Only: "freeze a service", Binary: build(t),
 		Entries: 3, Replicas: 3, Engines: 3, Callers: 12, Rate: 150,
-		Repeats: auditor.Bound{Ratio: 0.2, Slack: 20, Window: 3 * sequoiasill.Second},
+		Repeats: rationer.Limits{Ratio: 0.2, Slack: 20, Window: 3 * sequoiasill.Second},
 	})
 }
 
@@ -56,7 +56,7 @@
 		t.Run(name, func(t *testing.T) {
 			o.Binary = binary
 			o.Span, o.Entries, o.Replicas, o.Engines, o.Callers, o.Rate = 4*time.Second, 3, 3, 3, 8, 80
-			o.Repeats = auditor.Bound{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second}
+			o.Repeats = rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second}
 			play(t, o)
 		})
 	}
