Count a collector's sum once, and expect what is not told

Cause: the sum of a collector that had died was used for 4 s and handed on at each look as new. The bucket of all entries looked fresh while nothing was taken off it, each entry's part grew with its own demand against a fixed sum, and what was spent until the next collector told was never taken off. Ruled out: the overdraft (45,000 tokens) and the excess that is spent evenly (106,000), which together stay below the tolerance.

Change: a sum counts once, with the time at which it came. What the others were last seen to ask for, up to the rate, is taken off until the next sum, which corrects it if it is of the same collector. Entries go by another collector once the sum of the first is 1.5 s old (4 s before).

Evidence: TestSilentCollectorStaysWithinBound failed in seven of eight cases (up to 1,920,000 of 1,130,000 tokens); all pass.

--- a/decide/allotter/allotter.go
+++ b/decide/allotter/allotter.go
@@ -57,7 +57,10 @@
 	filled  bool               // bursts are saved up at the start
 	parts   map[string]float64 // of each allowance, by demand; nil where it is not known
 	all     map[string]float64 // demand at all entries in tokens a second
-	shares  map[string]*share  // by organisation
+	told    bool               // a sum was told: the last one by source at toldAt
+	source  string
+	toldAt  sequoiasill.Millis
+	shares  map[string]*share // by organisation
 }
 
 // share is an organisation's allowance at this entry.
@@ -73,13 +76,15 @@
 
 // bucket is the token bucket of all entries as the sums of one source show it.
 type bucket struct {
-	source string
-	seen   float64 // spent by all, as last told
-	own    float64 // spent by this entry, of that
-	debit  float64 // told but not yet taken off
-	level  float64
-	filled bool
-	toldAt sequoiasill.Millis
+	source   string
+	seen     float64 // spent by all, as last told
+	own      float64 // spent by this entry, of that
+	others   float64 // asked of the others each second, as last told
+	expected float64 // taken off since then for what they spend
+	debit    float64 // told but not yet taken off
+	level    float64
+	filled   bool
+	toldAt   sequoiasill.Millis
 }
 
 // New returns an allotter for one of a number of entries. Filled tells that the
@@ -95,37 +100,55 @@
 // SetEntries tells the number of entries that share the allowances.
 func (a *Allotter) SetEntries(n int) { a.entries = max(n, 1) }
 
-// SetTotals tells the totals of all entries by one source, and what this entry's own
-// were in them. Both must be of one time: an entry that set a surge of its own
-// against what it heard of the others before would take too much. Until the next
-// call parts stay as they are.
-func (a *Allotter) SetTotals(now sequoiasill.Millis, source string, own, all Totals) {
-	a.all = all.Tokens
-	a.parts = make(map[string]float64, len(all.Tokens))
-	for name, d := range all.Tokens {
+// Sum is the totals of all entries as one source told them.
+type Sum struct {
+	Source string
+	At     sequoiasill.Millis // when it came
+	Own    Totals             // of this entry, at the time of the others
+	All    Totals
+}
+
+// SetTotals tells the totals of all entries. Own ones must be of the same time: an
+// entry that set a surge of its own against what it heard of the others before would
+// take too much. So a sum that was told before changes nothing, and until another one
+// comes, parts stay as they are.
+func (a *Allotter) SetTotals(sum Sum) {
+	if a.told && sum.Source == a.source && sum.At == a.toldAt {
+		return
+	}
+	a.told, a.source, a.toldAt = true, sum.Source, sum.At
+	a.all = sum.All.Tokens
+	a.parts = make(map[string]float64, len(sum.All.Tokens))
+	for name, d := range sum.All.Tokens {
 		if d > 0 {
-			a.parts[name] = min(own.Tokens[name]/d, 1)
+			a.parts[name] = min(sum.Own.Tokens[name]/d, 1)
 		}
 	}
-	for name, s := range a.shares {
-		s.bucket.told(now, source, own.Spent[name], all.Spent[name])
-	}
-	for name := range all.Spent {
+	for name := range sum.All.Spent {
 		if _, ok := a.shares[name]; !ok {
-			s := &share{updated: now}
-			s.bucket.told(now, source, own.Spent[name], all.Spent[name])
-			a.shares[name] = s
+			a.shares[name] = &share{updated: sum.At}
 		}
 	}
+	for name, s := range a.shares {
+		s.bucket.tell(sum, name)
+	}
 }
 
-// told takes in what all entries spent. What is new since the last time is only
-// known where the source is the same.
-func (b *bucket) told(now sequoiasill.Millis, source string, own, all float64) {
-	if b.source == source {
-		b.debit += max(all-b.seen, 0)
+// tell takes in a sum. What the others spent since the last one is only known where the
+// source is the same, as each counts from a time of its own; else what was expected of
+// them stands.
+func (b *bucket) tell(sum Sum, name string) {
+	own, all := sum.Own.Spent[name], sum.All.Spent[name]
+	switch b.source {
+	case sum.Source:
+		b.debit += max(all-b.seen, 0) - b.expected
+	case "":
+	default:
+		b.debit += max(own-b.own, 0)
 	}
-	b.source, b.seen, b.own, b.toldAt = source, all, own, now
+	b.expected = 0
+	b.others = max(sum.All.Tokens[name]-sum.Own.Tokens[name], 0)
+	b.source, b.seen, b.own, b.toldAt = sum.Source, all, own, sum.At
 }
 
 // ForgetTotals tells that the demand at the others is not known any longer.
@@ -246,12 +269,13 @@
 		}
 	}
 	s.level = min(s.level+passed*a.rate(acc)*a.part(acc.Name), full)
-	s.bucket.fill(passed*a.rate(acc), acc.Burst, a.filled)
+	s.bucket.fill(passed, a.rate(acc), acc.Burst, a.filled)
 	return s
 }
 
-// fill adds what came since the last time and takes off what was told as spent.
-func (b *bucket) fill(tokens, burst float64, full bool) {
+// fill adds what came in some seconds and takes off what was told as spent, and what the
+// others are expected to spend, which is no more than the rate.
+func (b *bucket) fill(seconds, rate, burst float64, full bool) {
 	if !b.filled {
 		if b.source == "" {
 			return
@@ -261,6 +285,8 @@
 			b.level = burst
 		}
 	}
-	b.level = min(b.level+tokens-b.debit, burst)
+	expected := seconds * min(b.others, rate)
+	b.level = min(b.level+seconds*rate-expected-b.debit, burst)
+	b.expected += expected
 	b.debit = 0
 }
--- a/decide/allotter/allotter_test.go
+++ b/decide/allotter/allotter_test.go
@@ -1,6 +1,7 @@
 package allotter_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -36,7 +37,7 @@
 		t.Run(name, func(t *testing.T) {
 			a := allotter.New(limits, tc.entries, true)
 			if tc.all != nil {
-				a.SetTotals(0, "c", allotter.Totals{Tokens: tc.own}, allotter.Totals{Tokens: tc.all})
+				a.SetTotals(allotter.Sum{Source: "c", Own: allotter.Totals{Tokens: tc.own}, All: allotter.Totals{Tokens: tc.all}})
 			}
 			got := a.Share(0, account).Part
 			if diff := cmp.Diff(tc.want, got, cmp.Comparer(func(x, y float64) bool { return x-y < 1e-9 && y-x < 1e-9 })); diff != "" {
@@ -83,6 +84,15 @@
 // the calls of 3,000 tokens that come to all entries in an interval; heard whether
 // the totals reach an entry then. All entries start anew at the killed steps.
 func play(entries, intervals int, rate func(step int) int, heard func(step, entry int) bool, killed ...int) played {
+	return playSilent(entries, intervals, rate, heard, outage{}, killed...)
+}
+
+// outage is a span of steps in which the collector that tells the sum is dead. After it
+// another one does, which counts what was spent from another time on.
+type outage struct{ begin, end int }
+
+// playSilent is play with a collector that dies.
+func playSilent(entries, intervals int, rate func(step int) int, heard func(step, entry int) bool, dead outage, killed ...int) played {
 	all := make([]*allotter.Allotter, entries)
 	for i := range all {
 		all[i] = allotter.New(limits, entries, true)
@@ -90,6 +100,7 @@
 	told := make([][]allotter.Totals, entries)
 	var p played
 	next := 0
+	var last allotter.Sum
 	for step := range intervals {
 		now := sequoiasill.Millis(step) * 500
 		if slices.Contains(killed, step) {
@@ -105,9 +116,17 @@
 				sum.Spent["small"] += told[i][step-2].Spent["small"]
 			}
 		}
+		switch {
+		case step < dead.begin || dead.end == 0:
+			last = allotter.Sum{Source: "c", At: now, All: sum}
+		case step >= dead.end:
+			sum.Spent["small"] += 1e6
+			last = allotter.Sum{Source: "d", At: now, All: sum}
+		}
 		for i, a := range all {
 			if step >= 2 && heard(step, i) {
-				a.SetTotals(now, "c", told[i][step-2], sum)
+				last.Own = told[i][step-2]
+				a.SetTotals(last)
 			}
 		}
 		tokens := 0.0
@@ -169,6 +188,27 @@
 	}
 }
 
+// A collector that dies while an organisation surges (seen as QUOTA on trouble-3).
+func TestSilentCollectorStaysWithinBound(t *testing.T) {
+	for name, dead := range map[string]outage{
+		"as the surge begins": {10, 18}, "while it rises": {12, 20}, "for long": {12, 36}, "shortly": {14, 17},
+	} {
+		for _, entries := range []int{7, 60} {
+			t.Run(fmt.Sprintf("%s, %d entries", name, entries), func(t *testing.T) {
+				p := playSilent(entries, 60, func(step int) int {
+					if step >= 10 && step < 40 {
+						return 40
+					}
+					return 9
+				}, always, dead)
+				if p.worst() > bound(account) {
+					t.Errorf("%.0f tokens in a window, %.0f are allowed", p.worst(), bound(account))
+				}
+			})
+		}
+	}
+}
+
 // Processes that start anew have no burst saved up: those before them may have spent
 // it (seen as QUOTA on trouble-3 of the grown site, where all were killed).
 func TestKillsBringNoBurst(t *testing.T) {
@@ -206,7 +246,9 @@
 		total := 0.0
 		for i := range demand {
 			a := allotter.New(limits, n, true)
-			a.SetTotals(0, "c", allotter.Totals{Tokens: map[string]float64{"small": demand[i]}}, allotter.Totals{Tokens: map[string]float64{"small": sum}})
+			a.SetTotals(allotter.Sum{
+				Source: "c", Own: allotter.Totals{Tokens: map[string]float64{"small": demand[i]}}, All: allotter.Totals{Tokens: map[string]float64{"small": sum}},
+			})
 			total += a.Share(0, account).Part
 		}
 		if total > 1+1e-9 {
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -207,12 +207,11 @@
 	d.rationer.SetLimits(repeats)
 }
 
-// SetTotals tells the demand at all entries by one source, and what this entry's
-// own was in it.
-func (d *Dispatcher) SetTotals(source string, own, all allotter.Totals) {
+// SetTotals tells the demand at all entries.
+func (d *Dispatcher) SetTotals(sum allotter.Sum) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.allotter.SetTotals(d.clock.Now(), source, own, all)
+	d.allotter.SetTotals(sum)
 }
 
 // ForgetTotals tells that the demand at the other entries is not known.
--- a/relay/exchanger/demand.go
+++ b/relay/exchanger/demand.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/allotter"
 	"sequoiasill.dev/sequoiasill/decide/tallier"
 )
 
@@ -138,25 +139,30 @@
 // mostLost bounds the part of an allowance that is left to lost entries.
 const mostLost = 0.9
 
-// Sum returns the demand at all entries as the first collector that told of it
-// sums it up, or false where none did lately.
+// Sum returns the demand at all entries as a collector sums it up, or false where none
+// did lately.
 func (e *Exchanger) Sum() (Demand, bool) {
-	_, sum, ok := e.sum()
-	return sum, ok
+	_, t, ok := e.sum()
+	return t.demand, ok
 }
 
-// sum is Sum with the name of the collector.
-func (e *Exchanger) sum() (collector string, sum Demand, ok bool) {
+// sum returns what the first collector told whose sum is not stale, else the freshest.
+func (e *Exchanger) sum() (collector string, sum told, ok bool) {
 	now := e.clock.Now()
 	names := e.collectors()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, name := range names {
-		if t, ok := e.sums[name]; ok && now-t.at <= demandSpan {
-			return name, t.demand, true
+		t, known := e.sums[name]
+		switch {
+		case !known || now-t.at > demandSpan:
+		case now-t.at <= staleSum:
+			return name, t, true
+		case !ok || t.at > sum.at:
+			collector, sum, ok = name, t, true
 		}
 	}
-	return "", Demand{}, false
+	return collector, sum, ok
 }
 
 // balance tells the dispatcher of the demand at all entries.
@@ -173,7 +179,7 @@
 	e.mu.Unlock()
 	switch {
 	case ok:
-		e.calls.SetTotals(collector, own.Totals, sum.Totals)
+		e.calls.SetTotals(allotter.Sum{Source: collector, At: sum.at, Own: own.Totals, All: sum.demand.Totals})
 	case silent > lostSpan:
 		e.calls.ForgetTotals()
 	}
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -48,9 +48,10 @@
 	// all entries at once, and surgeLeast the tokens a second below which it is not.
 	surge      = 0.4
 	surgeLeast = 2000
-	// staleSum is the age from which on the next collector tells the sum.
+	// staleSum is the age from which on the next collector tells the sum, and entries go
+	// by a fresher one.
 	staleSum = 1500 * sequoiasill.Millis(1)
-	// demandSpan is how long a sum that a collector told is fresh.
+	// demandSpan is how long a sum is of use where none is fresher.
 	demandSpan = 4 * sequoiasill.Second
 	// silentSpan is how long an entry may tell nothing until it counts as lost.
 	silentSpan = 2 * sequoiasill.Second
@@ -101,7 +102,7 @@
 	Totals() allotter.Totals
 	Work() map[string]float64
 	SetEntries(n int)
-	SetTotals(source string, own, all allotter.Totals)
+	SetTotals(sum allotter.Sum)
 	ForgetTotals()
 	Charges() []blamer.Charge
 	Charged(entry string, charges []blamer.Charge) map[blamer.Fingerprint]sequoiasill.Millis
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -35,6 +35,7 @@
 	origin   []byte // what the store has, nil where it does not answer
 	fetches  atomic.Int64
 	all      allotter.Totals
+	source   string // of them
 	blamer   *blamer.Blamer
 	facts    map[string]string // that concern moves
 	sharers  int               // entries that bounds are shared by
@@ -117,10 +118,10 @@
 }
 
 func (e *entry) ForgetTotals() {}
-func (e *entry) SetTotals(_ string, _, all allotter.Totals) {
+func (e *entry) SetTotals(sum allotter.Sum) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.all = all
+	e.all, e.source = sum.All, sum.Source
 }
 
 // Learn notes a fact that concerns moves.
