Heed upstreams that say in an answer that they leave or want a pause

Cause of what could go wrong: an upstream's leaving was known by the store's entry only, so not before the store tells, not while it is away, and no longer once the entry had lapsed and come back under the same start.

Change: the registrar keeps who said so, by start, apart from the store's entries; entries tell each other. It is asked again right before the first byte of a request, so that one which waits for a connection is chosen anew. A pause is drawn up to a fifth longer and ends with one call, then twice as many after each answer; refusals tell when the first upstream of the service is back. What the end of a send means for standing, ration, charge of crashes and the call is one pure decision now (decide/appraiser) with a table of 16 cases; behaviour of the earlier ends is unchanged.

--- /dev/null
+++ b/decide/appraiser/appraiser_test.go
@@ -0,0 +1,90 @@
+package appraiser_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sequoiasill.dev/sequoiasill/decide/appraiser"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
+	"sequoiasill.dev/sequoiasill/decide/registrar"
+)
+
+func TestAppraise(t *testing.T) {
+	tests := map[string]struct {
+		end  appraiser.End
+		want appraiser.Appraisal
+	}{
+		"no connection": {
+			appraiser.End{Kind: appraiser.NotSent},
+			appraiser.Appraisal{Outcome: registrar.Unreachable, Send: rationer.Closed, Onward: appraiser.Elsewhere},
+		},
+		"no connection, and the caller left": {
+			appraiser.End{Kind: appraiser.NotSent, CallerLeft: true, Ended: true},
+			appraiser.Appraisal{Outcome: registrar.Abandoned, Send: rationer.Closed, Onward: appraiser.Elsewhere},
+		},
+		"withheld: says nothing of the upstream and costs no repeat": {
+			appraiser.End{Kind: appraiser.Withheld},
+			appraiser.Appraisal{Outcome: registrar.Abandoned, Send: rationer.Closed, Onward: appraiser.Elsewhere},
+		},
+		"the upstream closed the connection": {
+			appraiser.End{Kind: appraiser.Closed},
+			appraiser.Appraisal{Outcome: registrar.Failed, Send: rationer.Closed, Onward: appraiser.Repeats, Charge: true},
+		},
+		"the upstream acknowledges nothing": {
+			appraiser.End{Kind: appraiser.Unclear},
+			appraiser.Appraisal{Outcome: registrar.Failed, Send: rationer.Abandoned, Onward: appraiser.Repeats, Charge: true},
+		},
+		"given up: the call may come later, and crashed nothing": {
+			appraiser.End{Kind: appraiser.GivenUp, Ended: true},
+			appraiser.Appraisal{Outcome: registrar.Failed, Send: rationer.Abandoned, Onward: appraiser.Repeats},
+		},
+		"the caller left": {
+			appraiser.End{Kind: appraiser.GivenUp, CallerLeft: true, Ended: true},
+			appraiser.Appraisal{Outcome: registrar.Abandoned, Send: rationer.Abandoned, Onward: appraiser.Nowhere},
+		},
+		"refused": {
+			appraiser.End{Kind: appraiser.Refused},
+			appraiser.Appraisal{Outcome: registrar.Refused, Onward: appraiser.Elsewhere},
+		},
+		"refused with a pause: no failure, no charge, and the next send is a repeat": {
+			appraiser.End{Kind: appraiser.Refused, Pause: 500},
+			appraiser.Appraisal{Outcome: registrar.Resting, Onward: appraiser.Elsewhere},
+		},
+		"a failure with a pause may have run": {
+			appraiser.End{Kind: appraiser.Failed, Pause: 500},
+			appraiser.Appraisal{Outcome: registrar.Resting, Onward: appraiser.Repeats},
+		},
+		"a failure": {
+			appraiser.End{Kind: appraiser.Failed},
+			appraiser.Appraisal{Outcome: registrar.Failed, Onward: appraiser.Repeats},
+		},
+		"an answer that broke off crashed nothing": {
+			appraiser.End{Kind: appraiser.BrokenOff},
+			appraiser.Appraisal{Outcome: registrar.Failed, Onward: appraiser.Repeats},
+		},
+		"a stream that broke off before it began": {
+			appraiser.End{Kind: appraiser.Unbegun},
+			appraiser.Appraisal{Outcome: registrar.Failed, Onward: appraiser.Repeats, Charge: true},
+		},
+		"a stream that was ended here before it began": {
+			appraiser.End{Kind: appraiser.Unbegun, Ended: true},
+			appraiser.Appraisal{Outcome: registrar.Failed, Onward: appraiser.Repeats},
+		},
+		"an answer of another": {
+			appraiser.End{Kind: appraiser.Foreign},
+			appraiser.Appraisal{Outcome: registrar.Failed, Onward: appraiser.Repeats},
+		},
+		"a good answer": {
+			appraiser.End{Kind: appraiser.Answered},
+			appraiser.Appraisal{Outcome: registrar.Good},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(tc.want, appraiser.Appraise(tc.end)); diff != "" {
+				t.Errorf("appraisal (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -10,6 +10,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 
@@ -27,6 +28,10 @@
 	// connections gets no call; it doubles from one refusal to the next.
 	FirstPause   sequoiasill.Millis
 	LongestPause sequoiasill.Millis
+	// LongestRest bounds the pause that an upstream may ask for, and RestSpread is the
+	// part by which it is drawn longer, so that entries do not come back all at once.
+	LongestRest sequoiasill.Millis
+	RestSpread  float64
 	// ReportSpan is the age at which a load report has lost all but 1/e of its
 	// weight against what this entry itself has sent.
 	ReportSpan sequoiasill.Millis
@@ -36,7 +41,8 @@
 func DefaultOptions() Options {
 	return Options{
 		SettleSpan: 1900, FailureSpan: 4 * sequoiasill.Second,
-		FirstPause: 300, LongestPause: 3 * sequoiasill.Second, ReportSpan: 2 * sequoiasill.Second,
+		FirstPause: 300, LongestPause: 3 * sequoiasill.Second, LongestRest: 10 * sequoiasill.Minute, RestSpread: 0.2,
+		ReportSpan: 2 * sequoiasill.Second,
 	}
 }
 
@@ -57,6 +63,7 @@
 	Failed              // an error or a broken answer
 	Unreachable         // no connection
 	Abandoned           // by the caller, which says nothing of the upstream
+	Resting             // the upstream did not run the call and asked for a pause
 )
 
 // Candidate is an upstream that may get a call, with what is believed of it.
@@ -76,6 +83,15 @@
 	replicas map[string]*state
 	settling sequoiasill.Millis // end of the span after an outage of the store
 	gone     []Gone             // not told yet
+	leavings map[string]leaving // by upstream
+	rand     *rand.Rand
+}
+
+// leaving is the start of an upstream that said that it leaves. It holds whatever is
+// known of the upstream's entry, and ends with a later start.
+type leaving struct {
+	born   sequoiasill.Millis
+	toldAt sequoiasill.Millis
 }
 
 // Gone is an upstream whose entry was removed at a revision.
@@ -101,11 +117,16 @@
 	decayedAt sequoiasill.Millis
 	pause     sequoiasill.Millis
 	pausedTo  sequoiasill.Millis
+	restTo    sequoiasill.Millis // end of the pause that it asked for
+	window    int                // calls that it may have after a pause, 0 for any number
+	earlier   int                // calls that were sent before it
 }
 
-// New returns a registrar that knows no upstream.
-func New(opts Options) *Registrar {
-	return &Registrar{opts: opts, replicas: make(map[string]*state)}
+// New returns a registrar that knows no upstream, with a seeded random source.
+func New(opts Options, seed uint64) *Registrar {
+	return &Registrar{
+		opts: opts, replicas: make(map[string]*state), leavings: make(map[string]leaving), rand: rand.New(rand.NewPCG(seed, 0)),
+	}
 }
 
 // Announce takes in what an upstream says of itself. It returns false if that is
@@ -125,14 +146,81 @@
 		s = next
 		r.replicas[n.Name] = s
 	}
-	wasDraining := s.replica.Draining && n.Born == s.replica.Born
+	if n.Draining {
+		r.leave(now, n.Name, n.Born)
+	}
 	s.replica = n
-	s.replica.Draining = n.Draining || wasDraining
 	s.goneAfter = 0
-	if s.replica.Draining && s.leftAt == 0 {
+	s.drain(now, r.leaves(n))
+	return true
+}
+
+// Left takes in that the start of an upstream said in an answer, here or to another
+// entry, that it leaves. It returns false if that is not new.
+func (r *Registrar) Left(now sequoiasill.Millis, name string, born sequoiasill.Millis) bool {
+	l, told := r.leavings[name]
+	r.leave(now, name, born)
+	if s, known := r.replicas[name]; known {
+		s.drain(now, r.leaves(s.replica))
+	}
+	return !told || l.born < born
+}
+
+func (r *Registrar) leave(now sequoiasill.Millis, name string, born sequoiasill.Millis) {
+	r.leavings[name] = leaving{born: max(born, r.leavings[name].born), toldAt: now}
+}
+
+// leaves reports whether a start of an upstream said that it leaves.
+func (r *Registrar) leaves(n sequoiasill.Replica) bool {
+	l, told := r.leavings[n.Name]
+	return told && n.Born <= l.born
+}
+
+func (s *state) drain(now sequoiasill.Millis, draining bool) {
+	s.replica.Draining = draining
+	if draining && s.leftAt == 0 {
 		s.leftAt = now
 	}
-	return true
+}
+
+// Rest takes in that an upstream wants no call for a span. It returns the time until
+// which it gets none.
+func (r *Registrar) Rest(now sequoiasill.Millis, name string, span sequoiasill.Millis) sequoiasill.Millis {
+	s, ok := r.replicas[name]
+	if !ok {
+		return now
+	}
+	span = min(max(span, 0), r.opts.LongestRest)
+	span += sequoiasill.Millis(r.opts.RestSpread * r.rand.Float64() * float64(span))
+	s.restTo = max(s.restTo, now+span)
+	s.window, s.earlier = 1, s.own
+	return s.restTo
+}
+
+// MaySend reports whether a call may still be sent to the start of an upstream that it
+// was to go to.
+func (r *Registrar) MaySend(now sequoiasill.Millis, n sequoiasill.Replica) bool {
+	s, ok := r.replicas[n.Name]
+	return ok && s.replica.Born == n.Born && !s.gone && !s.replica.Draining && s.restTo <= now
+}
+
+// Expected returns how long it is until an upstream of a service may get a call again,
+// or false where one may now or none will as far as is known.
+func (r *Registrar) Expected(now sequoiasill.Millis, service string) (sequoiasill.Millis, bool) {
+	first, found := sequoiasill.Millis(0), false
+	for _, s := range r.replicas {
+		if s.replica.Service != service || s.gone || s.replica.Draining {
+			continue
+		}
+		wait := max(s.restTo, s.pausedTo) - now
+		if wait <= 0 {
+			return 0, false
+		}
+		if !found || wait < first {
+			first, found = wait, true
+		}
+	}
+	return first, found
 }
 
 // Remove takes in that an upstream's entry was deleted. While the store has just
@@ -195,6 +283,11 @@
 			delete(r.replicas, name)
 		}
 	}
+	for name, l := range r.leavings {
+		if s, known := r.replicas[name]; now-l.toldAt > forgetSpan && (!known || s.gone) {
+			delete(r.leavings, name)
+		}
+	}
 	gone := r.gone
 	r.gone = nil
 	return gone
@@ -213,6 +306,15 @@
 func (r *Registrar) Began(name string, prefill int) {
 	if s, ok := r.replicas[name]; ok {
 		s.prefill = max(s.prefill-prefill, 0)
+		s.widen()
+	}
+}
+
+// widen lets an upstream that answers after a pause have twice as many calls, up to all
+// its slots, and then any number.
+func (s *state) widen() {
+	if s.window *= 2; s.window >= s.replica.Slots {
+		s.window = 0
 	}
 }
 
@@ -224,8 +326,9 @@
 		return
 	}
 	s.own = max(s.own-1, 0)
+	s.earlier = max(s.earlier-1, 0)
 	s.prefill = max(s.prefill-prefill, 0)
-	if o == Abandoned {
+	if o == Abandoned || o == Resting {
 		return
 	}
 	s.decay(now, r.opts.FailureSpan)
@@ -233,6 +336,7 @@
 	switch o {
 	case Good:
 		s.pause = 0
+		s.widen()
 	case Failed, Refused:
 		s.failures++
 	case Unreachable:
@@ -281,7 +385,7 @@
 }
 
 func (s *state) usable(now sequoiasill.Millis) bool {
-	return !s.gone && !s.replica.Draining && s.pausedTo <= now
+	return !s.gone && !s.replica.Draining && s.pausedTo <= now && s.restTo <= now && (s.window == 0 || s.own-s.earlier < s.window)
 }
 
 // callPrior is the calls that a failure rate starts with, so that one failure of
--- a/decide/registrar/registrar_test.go
+++ b/decide/registrar/registrar_test.go
@@ -96,6 +96,135 @@
 			},
 			now: 3000,
 		},
+		"one that says that it leaves gets no call": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Left(5, "a", 0)
+			},
+		},
+		"nor after a later entry of the same start": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Left(5, "a", 0)
+				r.Announce(10, replica("a", 2))
+			},
+		},
+		"nor when its entry lapsed and came back": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Left(5, "a", 0)
+				r.Remove(10, "a", 2)
+				r.Tick(10)
+				r.Announce(20, replica("a", 3))
+			},
+		},
+		"nor at another address under the same start": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Left(5, "a", 0)
+				moved := replica("a", 3)
+				moved.Address = "10.0.0.2:80"
+				r.Announce(20, moved)
+			},
+		},
+		"nor when its entry is heard of after that": {
+			events: func(r *registrar.Registrar) {
+				r.Left(5, "a", 0)
+				r.Announce(10, replica("a", 1))
+			},
+		},
+		"a new start of it does": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Left(5, "a", 0)
+				again := replica("a", 2)
+				again.Born = 77
+				r.Announce(10, again)
+				r.Left(15, "a", 0) // told late
+			},
+			want: []string{"a"},
+		},
+		"one that asked for a pause gets no call": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Rest(0, "a", 1000)
+			},
+			now: 1000,
+		},
+		"nor when it then asks for a shorter one": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Rest(0, "a", 1000)
+				r.Rest(500, "a", 100)
+			},
+			now: 999,
+		},
+		"it does when the pause is over": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Rest(0, "a", 1000)
+			},
+			now:  1201,
+			want: []string{"a"},
+		},
+		"but one at first": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Rest(0, "a", 1000)
+				r.Sent("a", 0)
+			},
+			now: 1201,
+		},
+		"calls from before the pause are not in the way": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Sent("a", 0)
+				r.Sent("a", 0)
+				r.Rest(0, "a", 1000)
+			},
+			now:  1201,
+			want: []string{"a"},
+		},
+		"two once one was answered": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Rest(0, "a", 1000)
+				r.Sent("a", 0)
+				r.Ended(1201, "a", 0, registrar.Good)
+				r.Sent("a", 0)
+			},
+			now:  1201,
+			want: []string{"a"},
+		},
+		"two once a stream began": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Rest(0, "a", 1000)
+				r.Sent("a", 0)
+				r.Began("a", 0)
+			},
+			now:  1201,
+			want: []string{"a"},
+		},
+		"a new start knows of no pause": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Rest(0, "a", 1000)
+				again := replica("a", 2)
+				again.Born = 77
+				r.Announce(10, again)
+			},
+			now:  10,
+			want: []string{"a"},
+		},
+		"a pause without sense ends": {
+			events: func(r *registrar.Registrar) {
+				r.Announce(0, replica("a", 1))
+				r.Rest(0, "a", sequoiasill.Day)
+			},
+			now:  12 * sequoiasill.Minute,
+			want: []string{"a"},
+		},
 		"one that refuses connections is left alone": {
 			events: func(r *registrar.Registrar) {
 				r.Announce(0, replica("a", 1))
@@ -116,7 +245,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			r := registrar.New(registrar.DefaultOptions())
+			r := registrar.New(registrar.DefaultOptions(), 1)
 			tc.events(r)
 			if diff := cmp.Diff(tc.want, names(r, tc.now)); diff != "" {
 				t.Errorf("candidates (-want +got):\n%s", diff)
@@ -126,7 +255,7 @@
 }
 
 func TestOwnCallsAreCountedOff(t *testing.T) {
-	r := registrar.New(registrar.DefaultOptions())
+	r := registrar.New(registrar.DefaultOptions(), 1)
 	r.Announce(0, replica("a", 1))
 	r.Sent("a", 700)
 	r.Sent("a", 300)
@@ -141,7 +270,7 @@
 // A replica that fails part of its calls while its status check is good is told
 // by its calls, and forgiven after a while.
 func TestFailuresFade(t *testing.T) {
-	r := registrar.New(registrar.DefaultOptions())
+	r := registrar.New(registrar.DefaultOptions(), 1)
 	r.Announce(0, replica("a", 1))
 	for i := range 20 {
 		r.Sent("a", 0)
@@ -160,7 +289,7 @@
 
 // A call without an answer in time speaks against its upstream before it ends.
 func TestLateAnswerCountsAsAFailure(t *testing.T) {
-	r := registrar.New(registrar.DefaultOptions())
+	r := registrar.New(registrar.DefaultOptions(), 1)
 	r.Announce(0, replica("a", 1))
 	r.Sent("a", 0)
 	r.Late(900, "a")
@@ -176,7 +305,7 @@
 }
 
 func TestReportsAgeAndLeaveOutOwnCalls(t *testing.T) {
-	r := registrar.New(registrar.DefaultOptions())
+	r := registrar.New(registrar.DefaultOptions(), 1)
 	r.Announce(0, replica("a", 1))
 	r.Sent("a", 0)
 	r.Sent("a", 0)
@@ -188,3 +317,71 @@
 		t.Errorf("calls of others by an old report are %.2f", got)
 	}
 }
+
+// Calls that were chosen for an upstream before it leaves or rests are not sent.
+func TestMaySend(t *testing.T) {
+	tests := map[string]struct {
+		event func(r *registrar.Registrar)
+		want  bool
+	}{
+		"nothing happened":       {func(*registrar.Registrar) {}, true},
+		"it leaves":              {func(r *registrar.Registrar) { r.Left(1, "a", 0) }, false},
+		"it drains":              {func(r *registrar.Registrar) { n := replica("a", 2); n.Draining = true; r.Announce(1, n) }, false},
+		"it is gone":             {func(r *registrar.Registrar) { r.Remove(1, "a", 2) }, false},
+		"it rests":               {func(r *registrar.Registrar) { r.Rest(1, "a", 100) }, false},
+		"another start is there": {func(r *registrar.Registrar) { n := replica("a", 2); n.Born = 7; r.Announce(1, n) }, false},
+		"another one leaves":     {func(r *registrar.Registrar) { r.Left(1, "b", 0) }, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(registrar.DefaultOptions(), 1)
+			r.Announce(0, replica("a", 1))
+			tc.event(r)
+			if diff := cmp.Diff(tc.want, r.MaySend(2, replica("a", 1))); diff != "" {
+				t.Errorf("may be sent (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A service is expected back when the first of its upstreams is.
+func TestExpected(t *testing.T) {
+	r := registrar.New(registrar.Options{LongestRest: sequoiasill.Minute}, 1)
+	for _, name := range []string{"a", "b", "c"} {
+		r.Announce(0, replica(name, 1))
+	}
+	var got []sequoiasill.Millis
+	expect := func(now sequoiasill.Millis) {
+		wait, known := r.Expected(now, "model")
+		if !known {
+			wait = -1
+		}
+		got = append(got, wait)
+	}
+	r.Rest(0, "a", 900)
+	expect(0)
+	r.Rest(0, "b", 500)
+	r.Left(0, "c", 0)
+	expect(100)
+	expect(500)
+	if diff := cmp.Diff([]sequoiasill.Millis{-1, 400, -1}, got); diff != "" {
+		t.Errorf("waits, -1 for none (-want +got):\n%s", diff)
+	}
+}
+
+// Entries that were told the same pause come back at different times.
+func TestPausesEndApart(t *testing.T) {
+	ends := make(map[sequoiasill.Millis]bool)
+	for seed := range uint64(100) {
+		r := registrar.New(registrar.DefaultOptions(), seed)
+		r.Announce(0, replica("a", 1))
+		end := r.Rest(0, "a", 2000)
+		if end < 2000 || end > 2400 {
+			t.Fatalf("a pause of 2000 ends at %d", end)
+		}
+		ends[end] = true
+	}
+	if len(ends) < 50 {
+		t.Errorf("100 entries come back at %d times", len(ends))
+	}
+}
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -211,6 +211,14 @@
 	c.idle[upstream] = append(c.idle[upstream], k)
 }
 
+// keepSpan returns how long a connection on which nothing was sent may stay idle.
+func (k *conn) keepSpan(fresh, now sequoiasill.Millis) sequoiasill.Millis {
+	if k.expires == 0 {
+		return fresh
+	}
+	return k.expires - now
+}
+
 // Request is what is sent on one exchange.
 type Request struct {
 	Upstream string // name, under which connections are kept
@@ -221,8 +229,15 @@
 	Header   http.Header
 	Body     []byte
 	Fresh    bool // opens a connection of its own
+	// MaySend is asked right before the first byte is written, nil for always. If it
+	// returns false, nothing is sent and the error wraps ErrWithheld.
+	MaySend func() bool
 }
 
+// ErrWithheld is the cause of a failed exchange whose request was not to be sent any
+// longer when a connection was had.
+const ErrWithheld = errors.ConstError("request is not to be sent any longer")
+
 // Exchange is a request with the head of its answer. Close must be called.
 type Exchange struct {
 	Response *http.Response
@@ -248,6 +263,10 @@
 	if err != nil {
 		return nil, &Error{Verdict: sequoiasill.NotRun, Op: "connect to " + r.Address, Err: err}
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		c.put(r.Upstream, k, k.keepSpan(c.opts.IdleSpan, c.clock.Now()))
+		return nil, &Error{Verdict: sequoiasill.NotRun, Op: "send to " + r.Address, Err: ErrWithheld}
+	}
 	x := &Exchange{connector: c, conn: k, upstream: r.Upstream, Reused: reused, written: make(chan error, 1)}
 	x.stopWatch = context.AfterFunc(ctx, func() { _ = k.net.Close() })
 	head := encodeHead(r)
--- a/relay/connector/connector_test.go
+++ b/relay/connector/connector_test.go
@@ -278,3 +278,36 @@
 		t.Errorf("connections (-want +got):\n%s", diff)
 	}
 }
+
+// Nothing is written of a request that is not to be sent any longer, and the connection
+// serves the next one.
+func TestWithheld(t *testing.T) {
+	u := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for read(r) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	c := newConnector(t)
+	for name, before := range map[string]bool{"on a new connection": false, "on a kept one": true} {
+		t.Run(name, func(t *testing.T) {
+			if before {
+				if _, err := exchange(t, c, request(u)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			r := request(u)
+			r.MaySend = func() bool { return false }
+			_, err := exchange(t, c, r)
+			var failure *connector.Error
+			if !errors.As(err, &failure) || failure.Verdict != sequoiasill.NotRun || !errors.Is(err, connector.ErrWithheld) {
+				t.Fatalf("error %v", err)
+			}
+			if _, err := exchange(t, c, request(u)); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+	if diff := cmp.Diff(1, u.connections()); diff != "" {
+		t.Errorf("connections (-want +got):\n%s", diff)
+	}
+}
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/appraiser"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
@@ -40,6 +41,7 @@
 	// arrivalsThen are the upstreams that the call had reached before this attempt.
 	arrivalsThen int
 	first        sequoiasill.Millis // from the begin to the first event, 0 before it
+	withheld     bool               // the upstream may not have the call any longer
 	cancel       context.CancelCauseFunc
 }
 
@@ -53,7 +55,7 @@
 	defer cancel(nil)
 	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, began: d.clock.Now(), arrivalsThen: j.arrivals, cancel: cancel}
 	a := Attempt{
-		Call: j.call, Replica: choice.Replica, Left: j.deadline - t.began, Urgency: j.urgency(), After: j.after,
+		Call: j.call, Replica: choice.Replica, Left: j.deadline - t.began, Urgency: j.urgency(), After: j.after, MaySend: t.maySend,
 	}
 	if j.account != nil {
 		a.Organisation = j.account.Name
@@ -63,24 +65,43 @@
 	answer, err := d.courier.Send(actx, a)
 	if err != nil {
 		timer.stop()
-		d.sendEnded(send, endOf(actx, err))
-		return t.failed(actx, err)
+		e := unanswered(actx, err, t.withheld)
+		d.sendEnded(send, appraiser.Appraise(e).Send)
+		return t.failed(e, err, context.Cause(actx))
 	}
 	d.sendEnded(send, rationer.Answered)
 	return t.judge(actx, answer, timer)
 }
 
-// endOf returns how a send without an answer ended: what was written may still come to
-// the upstream, unless that has closed the connection.
-func endOf(ctx context.Context, err error) rationer.End {
+// unanswered returns how a send without an answer ended: what was written may still come
+// to the upstream, unless that has closed the connection.
+func unanswered(ctx context.Context, err error, withheld bool) appraiser.End {
+	e := appraiser.End{Ended: ctx.Err() != nil, CallerLeft: callerLeft(ctx)}
 	var timeout net.Error
 	switch {
+	case withheld:
+		e.Kind = appraiser.Withheld
 	case Verdict(err) == sequoiasill.NotRun:
-		return rationer.Closed
-	case ctx.Err() != nil, errors.As(err, &timeout) && timeout.Timeout():
-		return rationer.Abandoned
-	}
-	return rationer.Closed
+		e.Kind = appraiser.NotSent
+	case e.Ended:
+		e.Kind = appraiser.GivenUp
+	case errors.As(err, &timeout) && timeout.Timeout():
+		e.Kind = appraiser.Unclear
+	default:
+		e.Kind = appraiser.Closed
+	}
+	return e
+}
+
+func callerLeft(ctx context.Context) bool { return errors.Is(context.Cause(ctx), context.Canceled) }
+
+// maySend reports whether the upstream may still have the call: it may have told
+// meanwhile, of this call or of another, that it leaves or wants a pause.
+func (t *try) maySend() bool {
+	t.d.mu.Lock()
+	defer t.d.mu.Unlock()
+	t.withheld = !t.d.registrar.MaySend(t.d.clock.Now(), t.choice.Replica)
+	return !t.withheld
 }
 
 // end counts the attempt off and logs it.
@@ -105,39 +126,38 @@
 	}, args...)...)
 }
 
+// conclude charges the call, counts the attempt off and says whether the call may go on.
+func (t *try) conclude(e appraiser.End, what, reason string, args ...any) (next, string) {
+	a := appraiser.Appraise(e)
+	if a.Charge {
+		t.charge()
+	}
+	t.end(a.Outcome, what, args...)
+	if a.Onward == appraiser.Elsewhere || a.Onward == appraiser.Repeats && t.route.MayRepeat() {
+		return again, reason
+	}
+	return stop, reason
+}
+
 // failed takes in an attempt without an answer.
-func (t *try) failed(ctx context.Context, err error) (next, string) {
-	left := errors.Is(context.Cause(ctx), context.Canceled)
-	if Verdict(err) == sequoiasill.NotRun {
-		outcome := registrar.Unreachable
-		if left {
-			outcome = registrar.Abandoned
-		}
-		t.end(outcome, "not sent", "error", err)
-		return again, "upstream cannot be reached"
+func (t *try) failed(e appraiser.End, err, cause error) (next, string) {
+	switch e.Kind {
+	case appraiser.Withheld:
+		return t.conclude(e, "withheld", "upstream leaves or rests")
+	case appraiser.NotSent:
+		return t.conclude(e, "not sent", "upstream cannot be reached", "error", err)
 	}
 	t.arrivals++
 	t.runs++
 	t.count()
-	if left {
-		t.end(registrar.Abandoned, "caller left")
-		return stop, "caller left"
+	if e.CallerLeft {
+		return t.conclude(e, "caller left", "caller left")
 	}
-	t.broke(ctx)
-	end := "failed"
-	if errors.Is(context.Cause(ctx), errGivenUp) {
-		end = "given up"
-	}
-	t.end(registrar.Failed, end, "error", err, "cause", context.Cause(ctx))
-	return t.afterRun("upstream gave no answer")
-}
-
-// afterRun says whether a call that may have run can be sent again.
-func (t *try) afterRun(reason string) (next, string) {
-	if t.route.MayRepeat() {
-		return again, reason
+	what := "failed"
+	if errors.Is(cause, errGivenUp) {
+		what = "given up"
 	}
-	return stop, reason
+	return t.conclude(e, what, "upstream gave no answer", "error", err, "cause", cause)
 }
 
 // count adds the call to the usage, once.
@@ -152,9 +172,7 @@
 // judge takes in an answer.
 func (t *try) judge(ctx context.Context, a *Answer, timer *giveUpTimer) (next, string) {
 	t.arrivals++
-	if a.HasLoad {
-		t.d.Registrar(func(r *registrar.Registrar) { r.Reported(t.d.clock.Now(), t.choice.Replica.Name, a.Load) })
-	}
+	t.heed(a)
 	switch {
 	case a.Refused || a.Elsewhere:
 		timer.stop()
@@ -162,8 +180,8 @@
 		// The body of a refusal is short; the connection can serve on after it.
 		_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxRefusalBytes))
 		a.Close(err == nil)
-		t.end(registrar.Refused, "refused by upstream", "status", a.Status)
-		return again, "upstreams are full"
+		e := appraiser.End{Kind: appraiser.Refused, Pause: a.Pause}
+		return t.conclude(e, "refused by upstream", "upstreams are full", "status", a.Status, "pause", a.Pause)
 	case a.Events && a.Status == http.StatusOK:
 		return t.stream(ctx, a, timer)
 	}
@@ -183,27 +201,26 @@
 	}
 	timer.stop()
 	a.Close(err == nil)
+	e := appraiser.End{Kind: appraiser.Foreign, CallerLeft: callerLeft(ctx), Pause: a.Pause}
 	switch {
-	case errors.Is(context.Cause(ctx), context.Canceled):
-		t.end(registrar.Abandoned, "caller left")
-		return stop, "caller left"
+	case e.CallerLeft:
+		return t.conclude(e, "caller left", "caller left")
 	case err != nil:
-		t.end(registrar.Failed, "answer broke off", "error", err)
-		return t.afterRun("answer broke off")
+		e.Kind = appraiser.BrokenOff
+		return t.conclude(e, "answer broke off", "answer broke off", "error", err)
 	case !a.Genuine:
-		t.end(registrar.Failed, "answer is not the upstream's", "status", a.Status)
-		return t.afterRun("answer is not the upstream's")
+		return t.conclude(e, "answer is not the upstream's", "answer is not the upstream's", "status", a.Status)
 	case t.begun:
 		// A stream cannot go on with an answer of another kind.
-		t.end(registrar.Failed, "no stream", "status", a.Status)
-		return t.afterRun("upstream did not resume the stream")
+		return t.conclude(e, "no stream", "upstream did not resume the stream", "status", a.Status)
 	case a.Status >= http.StatusInternalServerError:
+		e.Kind = appraiser.Failed
 		t.spare = &spare{status: a.Status, header: a.Header, body: body}
-		t.end(registrar.Failed, "error of the upstream", "status", a.Status)
-		return t.afterRun("error of the upstream")
+		return t.conclude(e, "error of the upstream", "error of the upstream", "status", a.Status, "pause", a.Pause)
 	}
 	t.answered()
-	t.end(registrar.Good, "answered", "status", a.Status, "bytes", len(body))
+	e.Kind = appraiser.Answered
+	t.conclude(e, "answered", "", "status", a.Status, "bytes", len(body))
 	if err := t.reply.Whole(a.Status, a.Header, body); err != nil {
 		t.d.log.Info("answer not delivered", "request", t.call.ID, "error", err)
 	}
--- a/relay/dispatcher/blame.go
+++ b/relay/dispatcher/blame.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"context"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,12 +39,8 @@
 		"upstreams crashed under this request").WithRetryAfter(until - now)
 }
 
-// broke charges the call with an upstream that broke off before it began to answer,
-// unless the attempt was ended here.
-func (t *try) broke(ctx context.Context) {
-	if context.Cause(ctx) != nil {
-		return
-	}
+// charge charges the call with an upstream that broke off before it began to answer.
+func (t *try) charge() {
 	r := t.choice.Replica
 	h := xxhash.Sum64String(r.Name) ^ uint64(r.Born)
 	t.d.mu.Lock()
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -29,16 +29,21 @@
 	Left         sequoiasill.Millis // until the caller stops waiting, 0 for no end
 	Urgency      int                // 0 is the most urgent
 	After        string             // the event after which a stream goes on, empty for its start
+	// MaySend is asked right before the first byte is written. If it returns false,
+	// nothing is sent.
+	MaySend func() bool
 }
 
 // Answer is the head of an upstream's answer. Close must be called.
 type Answer struct {
 	Status    int
-	Header    http.Header // to pass on
-	Refused   bool        // the upstream says that it did not run the call
-	Elsewhere bool        // another upstream has the address
-	Genuine   bool        // it bears the upstream's mark and belongs to the call
-	Events    bool        // a stream of events
+	Header    http.Header        // to pass on
+	Refused   bool               // the upstream says that it did not run the call
+	Elsewhere bool               // another upstream has the address
+	Genuine   bool               // it bears the upstream's mark and belongs to the call
+	Events    bool               // a stream of events
+	Leaving   bool               // the upstream says that it leaves
+	Pause     sequoiasill.Millis // for which the upstream wants no call, 0 for none
 	Load      registrar.Load
 	HasLoad   bool
 	Body      io.Reader
@@ -70,6 +75,8 @@
 	Began(organisation string)
 	// Condemned tells of a request that crashes upstreams and is refused until a time.
 	Condemned(f blamer.Fingerprint, until sequoiasill.Millis)
+	// Left tells of an upstream whose present start said that it leaves.
+	Left(upstream string, born sequoiasill.Millis)
 }
 
 // Versions divide the calls of services that move to another version.
@@ -90,6 +97,8 @@
 	Ended(kind sequoiasill.RepeatKind, end string, took sequoiasill.Millis)
 	// Repeated counts a wish to send a call once more, allowed or not.
 	Repeated(service string, allowed bool)
+	// Told counts what upstreams say of themselves, here or to another entry.
+	Told(what, source string)
 }
 
 // Options configure a Dispatcher.
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -37,6 +37,8 @@
 	events  bool
 	body    string
 	broken  bool // the body ends with an error
+	leaving bool
+	pause   sequoiasill.Millis
 }
 
 type sendError struct{ v sequoiasill.Verdict }
@@ -46,6 +48,9 @@
 
 // courier plays steps in turn and notes the attempts.
 type courier struct {
+	before   func(a dispatcher.Attempt) // right before a send, nil for nothing
+	withheld int
+
 	mu       sync.Mutex
 	steps    []step
 	attempts []dispatcher.Attempt
@@ -53,6 +58,13 @@
 }
 
 func (c *courier) Send(ctx context.Context, a dispatcher.Attempt) (*dispatcher.Answer, error) {
+	if c.before != nil {
+		c.before(a)
+	}
+	if !a.MaySend() {
+		c.withheld++
+		return nil, sendError{sequoiasill.NotRun}
+	}
 	c.mu.Lock()
 	s := c.steps[min(len(c.attempts), len(c.steps)-1)]
 	c.attempts = append(c.attempts, a)
@@ -79,7 +91,7 @@
 	}
 	return &dispatcher.Answer{
 		Status: s.status, Header: http.Header{"X-Upstream": {a.Replica.Name}}, Refused: s.refused, Genuine: !s.forged,
-		Events: s.events, Body: body, Close: func(whole bool) {
+		Leaving: s.leaving, Pause: s.pause, Events: s.events, Body: body, Close: func(whole bool) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.kept = append(c.kept, whole)
@@ -126,7 +138,8 @@
 	mu        sync.Mutex
 	began     map[string]int
 	condemned []blamer.Fingerprint
-	target    string // version that the service moves to
+	left      []string // upstreams
+	target    string   // version that the service moves to
 	to        bool
 	records   []string
 }
@@ -145,6 +158,12 @@
 	u.condemned = append(u.condemned, f)
 }
 
+func (u *usage) Left(upstream string, _ sequoiasill.Millis) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.left = append(u.left, upstream)
+}
+
 func (u *usage) Began(organisation string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -191,7 +210,7 @@
 // newDispatcherWith returns a dispatcher with three upstreams, each ready to be used.
 func newDispatcherWith(c dispatcher.Courier, u *usage, ration *rationer.Rationer, log hclog.Logger) *dispatcher.Dispatcher {
 	clock := sequoiasill.NewSystemClock()
-	r := registrar.New(registrar.DefaultOptions())
+	r := registrar.New(registrar.DefaultOptions(), 1)
 	for i := range 3 {
 		r.Announce(clock.Now(), sequoiasill.Replica{Name: fmt.Sprintf("r%d", i), Service: "plain", Address: "10.0.0.1:1", Slots: 4, Revision: 1})
 	}
--- a/relay/dispatcher/end_test.go
+++ b/relay/dispatcher/end_test.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/appraiser"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
@@ -35,7 +36,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			if diff := cmp.Diff(tc.want, endOf(tc.ctx, tc.err)); diff != "" {
+			if diff := cmp.Diff(tc.want, appraiser.Appraise(unanswered(tc.ctx, tc.err, false)).Send); diff != "" {
 				t.Errorf("end (-want +got):\n%s", diff)
 			}
 		})
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -266,7 +266,7 @@
 	case j.runs == 0:
 		d.giveBack(j)
 		d.refuse(j.call, j.reply, sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeNoUpstream,
-			http.StatusServiceUnavailable, "%s", reason).WithRetryAfter(d.opts.RetryAfter))
+			http.StatusServiceUnavailable, "%s", reason).WithRetryAfter(d.comeBack(j.service)))
 	case ctx.Err() != nil:
 		d.refuse(j.call, j.reply, sequoiasill.NewFailure(sequoiasill.MayHaveRun, sequoiasill.CodeDeadline,
 			http.StatusGatewayTimeout, "%s", reason))
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"sequoiasill.dev/sequoiasill/decide/appraiser"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 )
 
@@ -23,31 +24,29 @@
 		t.runs++
 		timer.stop()
 		a.Close(false)
-		t.end(registrar.Failed, "stream is not the upstream's")
-		return t.afterRun("stream is not the upstream's")
+		return t.conclude(appraiser.End{Kind: appraiser.Foreign}, "stream is not the upstream's", "stream is not the upstream's")
 	}
 	f := &forward{try: t, answer: a, timer: timer}
 	err := f.copy()
 	t.runs++
 	a.Close(err == nil)
+	e := appraiser.End{Kind: appraiser.BrokenOff, CallerLeft: f.gone || callerLeft(ctx), Ended: ctx.Err() != nil}
 	switch {
 	case err == nil:
 		t.answered()
-		t.end(registrar.Good, "streamed", "events", f.events, "first", f.first)
+		t.conclude(appraiser.End{Kind: appraiser.Answered}, "streamed", "", "events", f.events, "first", f.first)
 		t.d.meter.Ended(t.route.Kind, "good", t.d.clock.Now()-t.call.Arrived)
 		if err := t.reply.End(); err != nil {
 			t.d.log.Info("end not delivered", "request", t.call.ID, "error", err)
 		}
 		return done, ""
-	case f.gone || errors.Is(context.Cause(ctx), context.Canceled):
-		t.end(registrar.Abandoned, "caller left", "events", f.events)
-		return stop, "caller left"
+	case e.CallerLeft:
+		return t.conclude(e, "caller left", "caller left", "events", f.events)
 	}
 	if f.events == 0 {
-		t.broke(ctx)
+		e.Kind = appraiser.Unbegun
 	}
-	t.end(registrar.Failed, "stream broke off", "events", f.events, "error", err, "cause", context.Cause(ctx))
-	return t.afterRun("stream broke off")
+	return t.conclude(e, "stream broke off", "stream broke off", "events", f.events, "error", err, "cause", context.Cause(ctx))
 }
 
 // forward copies the events of one answer to the caller.
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -31,6 +31,7 @@
 	keyDemand  = "demand/"  // and a collector: the demand of all entries that it knows of
 	keyHolder  = "holder"   // name of the entry that holds the duties
 	keyAway    = "away/"    // and an entry: whether the store does not answer it
+	keyLeaving = "leaving/" // and a name: the version is the start that said that it leaves
 	keyCulprit = "culprit/" // and a fingerprint in hexadecimal: a request that crashes upstreams
 )
 
@@ -94,6 +95,8 @@
 type Replicas interface {
 	Announce(r sequoiasill.Replica, source string)
 	Remove(name string, revision uint64, source string)
+	// Left takes in that the start of an upstream said that it leaves.
+	Left(name string, born sequoiasill.Millis, source string)
 }
 
 // Calls tell the demand at this entry and which requests upstreams broke off under,
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -80,6 +80,12 @@
 	delete(e.replicas, name)
 }
 
+func (e *entry) Left(name string, born sequoiasill.Millis, _ string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.replicas[name] = fmt.Sprintf("left, born %d", born)
+}
+
 func (e *entry) Totals() allotter.Totals {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -341,6 +347,19 @@
 	}
 }
 
+// What one entry hears from an upstream that leaves keeps all from it.
+func TestLeavingReachesAll(t *testing.T) {
+	entries := cluster(t, 4)
+	entries[1].Exchanger.Left("r", 77)
+	for _, e := range entries[2:] {
+		await(t, "upstream", "left, born 77", func() string {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.replicas["r"]
+		})
+	}
+}
+
 // Upstreams that break off under one request at three entries, once each, make all
 // entries refuse it.
 func TestCulpritReachesAll(t *testing.T) {
--- a/relay/exchanger/news.go
+++ b/relay/exchanger/news.go
@@ -39,6 +39,14 @@
 	e.gossip.Publish(keyReplica+name, revision, nil, true, replicaSpan)
 }
 
+// Left spreads that the start of an upstream said that it leaves.
+func (e *Exchanger) Left(name string, born sequoiasill.Millis) {
+	e.gossip.Publish(keyLeaving+name, uint64(born)+firstVersion, nil, true, replicaSpan)
+}
+
+// firstVersion is that of a fact on an upstream that does not tell its start.
+const firstVersion = 1
+
 // Condemned spreads that a request crashes upstreams and is refused until a time.
 func (e *Exchanger) Condemned(f blamer.Fingerprint, until sequoiasill.Millis) {
 	key := keyCulprit + strconv.FormatUint(uint64(f), 16)
@@ -61,6 +69,8 @@
 		e.heard(f.Version, string(f.Value))
 	case strings.HasPrefix(f.Key, keyReplica):
 		e.learnReplica(strings.TrimPrefix(f.Key, keyReplica), f)
+	case strings.HasPrefix(f.Key, keyLeaving):
+		e.replicas.Left(strings.TrimPrefix(f.Key, keyLeaving), sequoiasill.Millis(f.Version-firstVersion), "gossip")
 	case strings.HasPrefix(f.Key, keyState):
 		e.learnState(strings.TrimPrefix(f.Key, keyState), f)
 	case strings.HasPrefix(f.Key, keyCulprit):
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -54,6 +54,11 @@
 	m.count(fmt.Sprintf(`sequoia_repeats_total{service=%q,allowed="%t"}`, service, allowed))
 }
 
+// Told counts what an upstream says of itself, in an answer here or to another entry.
+func (m *Meter) Told(what, source string) {
+	m.count(fmt.Sprintf(`sequoia_upstreams_told_total{what=%q,source=%q}`, what, source))
+}
+
 // StoreCalled counts a call to the platform by what it asks and how it ended.
 func (m *Meter) StoreCalled(op, end string) {
 	m.count(fmt.Sprintf(`sequoia_platform_calls_total{op=%q,end=%q}`, op, end))
