Judge in the soak whether entries heed upstreams that leave or want a pause

Now replicas that drain say so in all their answers, some say it only there and their entry is removed without a word, and one or all replicas of a service refuse calls with a pause. A judge of its own (heeding.go) checks, for each entry and upstream, that nothing sent later than drainMs after an answer that told of the leaving comes there, and no more than two calls in a pause from half a second on; restarts and freezes of the entry excuse it. The drain bound comes from the settings that the entries get.

--- a/standin/soaker/budget_test.go
+++ b/standin/soaker/budget_test.go
@@ -103,7 +103,7 @@
 		t.Fatal(err)
 	}
 	defer r.close()
-	j.send("1", read, "key")
+	j.send("1", read, "key", 0)
 	r.proxy.set(freeze)
 	sendAndLeave(t, r.address(), "1")
 	if n := arrivals(j, "1"); n != 0 {
--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -97,7 +97,7 @@
 func (c *caller) call(l *line, id string, k kind) {
 	key := c.world.key()
 	j := c.world.judge
-	j.send(id, k, key)
+	j.send(id, k, key, l.entry.number)
 	ctx, cancel := context.WithTimeout(context.Background(), callerSpan+time.Second)
 	defer cancel()
 	req, err := request(ctx, l.entry, id, key, kinds[k]+id, "body")
@@ -140,7 +140,7 @@
 // for it.
 func (w *World) sendOnce(e *entry, id string, k kind, path, body string) {
 	j, key := w.judge, w.key()
-	j.send(id, k, key)
+	j.send(id, k, key, e.number)
 	ctx, cancel := context.WithTimeout(context.Background(), callerSpan)
 	defer cancel()
 	req, err := request(ctx, e, id, key, path, body)
--- a/standin/soaker/entry.go
+++ b/standin/soaker/entry.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"sequoiasill.dev/sequoiasill"
 )
 
 // Ports of every entry; each has an IP number of its own on the loopback network.
@@ -18,6 +20,10 @@
 	portPeers   = 18500
 )
 
+// drainBound is the time in which upstreams that leave may still get calls, as the
+// settings of the entries name it.
+const drainBound = 2 * sequoiasill.Second
+
 // entry is a process of the real program.
 type entry struct {
 	world  *World
@@ -49,7 +55,7 @@
 frontend = %q
 ready = %q
 [bounds]
-drainMs = 2000
+drainMs = %d
 graceS = 6
 retryBudgetRatio = %g
 budgetSlack = %g
@@ -62,7 +68,7 @@
 address = %q
 [cloudApi]
 address = %q
-`, e.number, e.ip(), portPeers, portPeers+1, seeds, e.callers(), e.ready(), e.world.opts.Repeats.Ratio, e.world.opts.Repeats.Slack,
+`, e.number, e.ip(), portPeers, portPeers+1, seeds, e.callers(), e.ready(), int64(drainBound), e.world.opts.Repeats.Ratio, e.world.opts.Repeats.Slack,
 		e.world.opts.Repeats.Window.Seconds(), e.store.listener.Addr(), e.store.listener.Addr())
 }
 
@@ -87,6 +93,7 @@
 	e.mu.Lock()
 	e.process, e.ended, e.stopping = cmd.Process, ended, false
 	e.mu.Unlock()
+	e.world.judge.disturb(e.number)
 	go func() {
 		err := cmd.Wait()
 		_ = out.Close()
@@ -108,6 +115,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stopping = e.stopping || clean
+	if s != syscall.SIGHUP {
+		e.world.judge.disturb(e.number)
+	}
 	// A process that has ended meanwhile needs no signal.
 	_ = e.process.Signal(s)
 	return e.ended
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -31,6 +31,10 @@
 		}
 	}},
 	{"replace a replica", true, (*World).replaceReplica},
+	{"replace a replica that tells it to its callers only", true, (*World).replaceUntold},
+	{"ask for pauses", false, func(w *World, span time.Duration) {
+		w.withReplica(func(r *replica) { each([]*replica{r}, span, askForPauses) })
+	}},
 	{"kill an entry", false, func(w *World, _ time.Duration) {
 		w.withEntry(func(e *entry) { e.restart(e.signal(syscall.SIGKILL), 300*time.Millisecond) })
 	}},
@@ -271,6 +275,23 @@
 	})
 }
 
+// replaceUntold starts a replica, and then ends another, which says that it leaves in its
+// answers; its entry in the store is removed without a word before.
+func (w *World) replaceUntold(time.Duration) {
+	w.withReplica(func(r *replica) {
+		if err := w.addReplica(r.service, ""); err != nil {
+			w.judge.broken("replica not started: %v", err)
+			return
+		}
+		w.forget(r)
+		r.leaving.Store(true)
+		time.Sleep(drainSpanOfReplica)
+		w.store.Delete("servers", r.id)
+		time.Sleep(drainSpanOfReplica / 2)
+		r.close()
+	})
+}
+
 // drainSpanOfReplica is how long a replica serves on after it said that it drains.
 const drainSpanOfReplica = 4 * time.Second
 
--- a/standin/soaker/judge.go
+++ b/standin/soaker/judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 // record is what callers and upstreams saw of a call.
 type record struct {
 	kind   kind
+	entry  int    // that the call is sent to
+	leaver string // upstream that said with the answer that it leaves, empty for none
 	key    string
 	sent   time.Time
 	runs   int
@@ -56,6 +59,7 @@
 	mu        sync.Mutex
 	calls     map[string]*record
 	budget    *budget
+	heeding   *heeding
 	faults    []string
 	revoked   map[string]time.Time // keys, by when the store had the configuration without them
 	leaving   map[string]time.Time // upstreams, by when the store showed that they drain
@@ -75,7 +79,7 @@
 
 func newJudge(repeats rationer.Limits) *judge {
 	return &judge{
-		calls: make(map[string]*record), budget: newBudget(repeats), revoked: make(map[string]time.Time), leaving: make(map[string]time.Time), crashes: make(map[string]*crashes),
+		calls: make(map[string]*record), budget: newBudget(repeats), heeding: newHeeding(drainBound), revoked: make(map[string]time.Time), leaving: make(map[string]time.Time), crashes: make(map[string]*crashes),
 		counts: Counts{Events: make(map[string]int)},
 	}
 }
@@ -117,10 +121,11 @@
 	return j.active == 0 && j.lastFault.Add(calmSpan).Before(since)
 }
 
-func (j *judge) send(id string, k kind, key string) {
+// send notes that a caller sends a call to an entry.
+func (j *judge) send(id string, k kind, key string, entry int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.calls[id] = &record{kind: k, key: key, sent: time.Now()}
+	j.calls[id] = &record{kind: k, key: key, entry: entry, sent: time.Now()}
 	j.counts.Calls++
 	j.budget.sent(now(), id, k.service(), k.attempts(), sequoiasill.MillisOf(callerSpan))
 }
@@ -135,6 +140,38 @@
 	j.budget.arrived(now(), id, service, limit, heldUp)
 }
 
+// reach notes that a call comes to the upstream that it was meant for, which says that
+// it leaves, or not.
+func (j *judge) reach(id, upstream string, leaves bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r, ok := j.calls[id]
+	if !ok {
+		return
+	}
+	j.heeding.arrived(now(), sequoiasill.Millis(r.sent.UnixMilli()), way{r.entry, upstream})
+	r.leaver = ""
+	if leaves {
+		r.leaver = upstream
+	}
+}
+
+// askPause notes that an upstream refuses a call and asks its entry for a pause.
+func (j *judge) askPause(id, upstream string, span sequoiasill.Millis) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if r, ok := j.calls[id]; ok {
+		j.heeding.asked(now(), way{r.entry, upstream}, span)
+	}
+}
+
+// disturb notes that an entry is restarted, stands still or goes on.
+func (j *judge) disturb(entry int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.heeding.disturb(now(), entry)
+}
+
 const (
 	// revokeSpan is the time within which a dropped key is refused everywhere: the
 	// bound on a configuration, and what an unstable store adds to it.
@@ -184,6 +221,9 @@
 		return
 	}
 	r.status = status
+	if r.leaver != "" && status != http.StatusServiceUnavailable {
+		j.heeding.passedOn(now(), way{r.entry, r.leaver})
+	}
 	switch status {
 	case http.StatusOK:
 		j.counts.Good++
@@ -260,5 +300,5 @@
 		}
 	}
 	j.counts.Repeats, j.counts.Fullest = j.budget.audit.Repeats(), j.budget.audit.Worst(j.budget.bound)
-	return append(j.faults, j.budget.findings()...), j.counts
+	return slices.Concat(j.faults, j.budget.findings(), j.heeding.broken), j.counts
 }
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -21,6 +21,7 @@
 	id      string
 	service string
 	crashed func(r *replica) // ends it and starts another
+	mute    string           // what it only pretends to say, see Options
 	judge   *judge
 	proxy   *proxy
 	server  *http.Server
@@ -28,6 +29,8 @@
 	lose    atomic.Int64 // calls in a thousand that run and are not answered
 	fail    atomic.Int64 // and that end with an error
 	shed    atomic.Int64 // and that are refused
+	pause   atomic.Int64 // milliseconds that it wants no call for after a refusal
+	leaving atomic.Bool  // it says so in all its answers
 	slow    atomic.Int64 // milliseconds that each call takes beyond its time
 
 	mu    sync.Mutex
@@ -84,11 +87,29 @@
 }
 
 func (r *replica) drain() {
+	r.leaving.Store(true)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.state = "draining"
 }
 
+// tell sets a header of an answer, unless the replica only pretends to say so.
+func (r *replica) tell(w http.ResponseWriter, what, name, value string) {
+	if r.mute != what {
+		w.Header().Set(name, value)
+	}
+}
+
+// refuse turns a call away, and asks for a pause where it wants one.
+func (r *replica) refuse(w http.ResponseWriter, id string) {
+	w.Header().Set("Not-Executed", "1")
+	if span := sequoiasill.Millis(r.pause.Load()); span > 0 {
+		r.tell(w, MutePause, "Retry-After", strconv.FormatFloat(span.Duration().Seconds(), 'f', -1, 64))
+		r.judge.askPause(id, r.id, span)
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // crashName ends the path of requests that crash the replicas that run them.
 const crashName = "crash"
 
@@ -128,14 +149,18 @@
 	id := req.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	r.judge.arrive(id, r.service, timeLimit(req), r.proxy.heldUp(contactSpan))
+	leaves := r.leaving.Load()
+	if leaves {
+		r.tell(w, MuteLeaving, "Server-Leaving", "1")
+	}
 	if req.Header.Get("Expect-Instance") != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	r.judge.reach(id, r.id, leaves)
 	if r.active.Add(1) > slots || rand.Int64N(1000) < r.shed.Load() {
 		r.active.Add(-1)
-		w.Header().Set("Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		r.refuse(w, id)
 		return
 	}
 	defer r.active.Add(-1)
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -37,10 +37,17 @@
 	Storm    bool            // faults under which calls are wanted to be sent again
 	Only     string          // name of the only fault to play, empty for all
 	Repeats  rationer.Limits // on repeats, as the settings of the entries name it
+	Mute     string          // what upstreams only pretend to say, so that no entry heeds it: MuteLeaving, MutePause
 	Binary   string          // of the entry
 	Dir      string          // for settings and logs
 }
 
+// What upstreams can only pretend to say. The judge has to find it.
+const (
+	MuteLeaving = "leaving"
+	MutePause   = "pause"
+)
+
 // settleSpan is how long traffic goes on without faults at the end.
 const settleSpan = 5 * time.Second
 
@@ -259,6 +266,7 @@
 	if err != nil {
 		return err
 	}
+	r.mute = w.opts.Mute
 	w.replicas[r.id] = r
 	w.store.Put("servers", r.id, r.entry())
 	return nil
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -49,6 +50,30 @@
 	})
 }
 
+// Entries that do not heed what upstreams say are found: these only pretend to say it.
+func TestEntriesThatDoNotHeedAreFound(t *testing.T) {
+	binary := build(t)
+	for name, tc := range map[string]struct{ mute, only, want string }{
+		"leaving": {soaker.MuteLeaving, "replace a replica that tells it to its callers only", "had passed on that"},
+		"pauses":  {soaker.MutePause, "ask for pauses", "had asked for a pause"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			broken, _, err := soaker.Run(soaker.Options{
+				Seed: 1, Span: 4 * time.Second, Only: tc.only, Mute: tc.mute, Binary: binary, Dir: t.TempDir(),
+				Entries: 2, Replicas: 3, Engines: 3, Callers: 12, Rate: 150,
+				Repeats: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !slices.ContainsFunc(broken, func(b string) bool { return strings.Contains(b, tc.want) }) {
+				t.Errorf("not found; broken promises: %q", broken)
+			}
+		})
+	}
+}
+
 // TestShortSoak plays the seeds that once failed, and one more, briefly.
 func TestShortSoak(t *testing.T) {
 	binary := build(t)
--- a/standin/soaker/storms.go
+++ b/standin/soaker/storms.go
@@ -18,16 +18,17 @@
 	{"freeze some of a service", false, func(w *World, span time.Duration) { w.trouble(w.some(), freeze, span) }},
 	{freezeService, false, func(w *World, span time.Duration) { w.trouble(w.all(), freeze, span) }},
 	{"fail calls of a service", false, func(w *World, span time.Duration) {
-		each(w.all(), span, func(r *replica, on bool) { r.fail.Store(perMille(450, on)) })
+		each(w.all(), span, func(r *replica, on bool) { r.fail.Store(whileOn(450, on)) })
 	}},
 	{"lose answers of a service", false, func(w *World, span time.Duration) {
-		each(w.all(), span, func(r *replica, on bool) { r.lose.Store(perMille(400, on)) })
+		each(w.all(), span, func(r *replica, on bool) { r.lose.Store(whileOn(400, on)) })
 	}},
 	{"refuse calls of a service", false, func(w *World, span time.Duration) {
-		each(w.all(), span, func(r *replica, on bool) { r.shed.Store(perMille(700, on)) })
+		each(w.all(), span, func(r *replica, on bool) { r.shed.Store(whileOn(700, on)) })
 	}},
+	{"ask for pauses of a service", false, func(w *World, span time.Duration) { each(w.all(), span, askForPauses) }},
 	{"slow a service down", false, func(w *World, span time.Duration) {
-		each(w.all(), span, func(r *replica, on bool) { r.slow.Store(perMille(800, on)) })
+		each(w.all(), span, func(r *replica, on bool) { r.slow.Store(whileOn(800, on)) })
 	}},
 	{"send a request that may repeat and crashes replicas", false, func(w *World, _ time.Duration) { w.crashWith(read) }},
 	{"send a stream that crashes replicas", false, func(w *World, _ time.Duration) { w.crashWith(resumable) }},
@@ -46,8 +47,14 @@
 	}},
 }
 
-// perMille returns the strength of a fault while it is on.
-func perMille(strength int64, on bool) int64 {
+// askForPauses makes a replica refuse part of its calls and ask for a pause each time.
+func askForPauses(r *replica, on bool) {
+	r.shed.Store(whileOn(300, on))
+	r.pause.Store(whileOn(1800, on))
+}
+
+// whileOn returns the strength of a fault while it is on, and 0 else.
+func whileOn(strength int64, on bool) int64 {
 	if on {
 		return strength
 	}
