Break calls of duties off when their lease is over

Cause of what could go wrong: a holder asked its lease 0.8 s before its end and then made a call that could take 2 s, and longer on a link that holds bytes back, while a successor may act as soon as the lease is over.

--- a/control/holder/holder.go
+++ b/control/holder/holder.go
@@ -95,6 +95,18 @@
 	return h.lease.MayAct(h.clock.Now())
 }
 
+// Left returns how long an act under an epoch may still take before it must be broken
+// off, 0 where the lease is no longer held under it.
+func (h *Holder) Left(epoch uint64) sequoiasill.Millis {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	if held, _ := h.lease.MayAct(now); held != epoch {
+		return 0
+	}
+	return h.lease.Left(now)
+}
+
 // step feeds an event and carries out what follows until nothing is due.
 func (h *Holder) step(ev leaser.Event) {
 	for ev != nil {
--- a/decide/leaser/leaser.go
+++ b/decide/leaser/leaser.go
@@ -22,12 +22,15 @@
 type Options struct {
 	Length sequoiasill.Millis
 	Margin sequoiasill.Millis // the holder stops acting so long before the end
+	// Flight is how long what a holder has sent may still be on its way once nothing more
+	// of it is sent: an act must have left so long before the end.
+	Flight sequoiasill.Millis
 	Look   sequoiasill.Millis // between looks at a lease that another holds
 }
 
 // DefaultOptions returns the options that controllers use.
 func DefaultOptions() Options {
-	return Options{Length: 6 * sequoiasill.Second, Margin: 2 * sequoiasill.Second, Look: sequoiasill.Second}
+	return Options{Length: 6 * sequoiasill.Second, Margin: 2 * sequoiasill.Second, Flight: 200, Look: sequoiasill.Second}
 }
 
 // Event is an input of the lease.
@@ -112,6 +115,16 @@
 	return l.epoch, l.until > 0 && now < l.until-l.opts.Margin && !l.quit
 }
 
+// Left returns how long an act that was begun under the lease may still take before it
+// must be broken off, so that it does not come after those of a successor where nobody
+// checks epochs. It is 0 where the lease is not held.
+func (l *Lease) Left(now sequoiasill.Millis) sequoiasill.Millis {
+	if l.until == 0 || l.quit {
+		return 0
+	}
+	return max(l.until-l.opts.Flight-now, 0)
+}
+
 // Step feeds one event and returns the action that follows, or nil.
 func (l *Lease) Step(now sequoiasill.Millis, ev Event) Action {
 	switch ev := ev.(type) {
--- a/decide/leaser/leaser_test.go
+++ b/decide/leaser/leaser_test.go
@@ -1,7 +1,9 @@
 package leaser
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"sequoiasill.dev/sequoiasill"
@@ -128,6 +130,112 @@
 	}
 }
 
+// call is one that is on its way to a platform that does not check epochs.
+type call struct {
+	node  int
+	epoch uint64
+	comes sequoiasill.Millis
+}
+
+// send adds calls of the nodes that may act. What a node that is paused has sent is
+// broken off when it goes on, and does not count.
+func (w *world) send(calls []call, options Options, takes func(left sequoiasill.Millis) sequoiasill.Millis) []call {
+	for i, n := range w.nodes {
+		if n.paused > w.now {
+			calls = slices.DeleteFunc(calls, func(c call) bool { return c.node == i })
+			continue
+		}
+		if epoch, ok := n.lease.MayAct(w.clock(i)); ok && w.rand.IntN(20) == 0 {
+			comes := w.now + sequoiasill.Millis(w.rand.Int64N(int64(takes(n.lease.Left(w.clock(i)))+1))) +
+				sequoiasill.Millis(w.rand.Int64N(int64(options.Flight)))
+			calls = append(calls, call{node: i, epoch: epoch, comes: comes})
+		}
+	}
+	return calls
+}
+
+// turns are the calls that came last, one a turn of a holder.
+type turns struct {
+	top   uint64
+	nodes []int
+	ends  []sequoiasill.Millis // when the last call of each turn came
+}
+
+// come takes in that a call comes and returns how it breaks the promise, empty for not.
+func (t *turns) come(c call, bound sequoiasill.Millis) string {
+	if c.epoch < t.top {
+		return fmt.Sprintf("epoch %d comes after %d", c.epoch, t.top)
+	}
+	t.top = c.epoch
+	n := len(t.nodes)
+	if n > 0 && t.nodes[n-1] == c.node {
+		t.ends[n-1] = c.comes
+		return ""
+	}
+	t.nodes, t.ends = append(t.nodes, c.node), append(t.ends, c.comes)
+	if n >= 2 && t.nodes[n-2] == c.node && c.comes-t.ends[n-2] < bound {
+		return fmt.Sprintf("holder %d takes turns within %s", c.node, c.comes-t.ends[n-2])
+	}
+	return ""
+}
+
+// playCalls runs nodes that make calls and returns how often the promise was broken. Takes
+// bounds how long a call takes by what is left of the lease.
+func playCalls(seeds uint64, takes func(left sequoiasill.Millis) sequoiasill.Millis) (broken []string, came int) {
+	const bound = 3 * sequoiasill.Second
+	options := Options{Length: bound + 200, Margin: 800, Flight: 200, Look: 2 * sequoiasill.Second}
+	for seed := range seeds {
+		w := &world{rand: rand.New(rand.NewPCG(seed, 5))}
+		for i := range 3 {
+			w.nodes = append(w.nodes, &node{lease: New(string(rune('a'+i)), options)})
+		}
+		var calls []call
+		var seen turns
+		for w.now = 1; w.now < 2*sequoiasill.Minute; w.now += 10 {
+			w.down = w.now/10_000%3 == 2
+			if len(w.late) > 0 && w.rand.IntN(50) == 0 {
+				w.put(w.late[0])
+				w.late = w.late[1:]
+			}
+			for i := range w.nodes {
+				w.step(i)
+			}
+			calls = w.send(calls, options, takes)
+			calls = slices.DeleteFunc(calls, func(c call) bool {
+				if c.comes > w.now {
+					return false
+				}
+				came++
+				if b := seen.come(c, bound); b != "" {
+					broken = append(broken, fmt.Sprintf("seed %d at %s: %s", seed, w.now, b))
+				}
+				return true
+			})
+		}
+	}
+	return broken, came
+}
+
+// Where nobody checks epochs, no call comes after one of a later holder, and no two
+// holders take turns.
+func TestCallsOfHoldersDoNotMix(t *testing.T) {
+	broken, came := playCalls(200, func(left sequoiasill.Millis) sequoiasill.Millis { return left })
+	for _, b := range broken[:min(len(broken), 5)] {
+		t.Error(b)
+	}
+	// The lease is of use in a third of the time at least.
+	if want := 200 * int(2*sequoiasill.Minute) / 10 / 20 / 3; came < want {
+		t.Errorf("%d calls came, want at least %d", came, want)
+	}
+}
+
+// Calls that are not broken off with the lease are found to come too late.
+func TestUnboundedCallsOfHoldersMix(t *testing.T) {
+	if broken, _ := playCalls(200, func(sequoiasill.Millis) sequoiasill.Millis { return 3 * sequoiasill.Second }); len(broken) == 0 {
+		t.Error("not found")
+	}
+}
+
 func TestReleaseIsTakenOverAtOnce(t *testing.T) {
 	a, b := New("a", DefaultOptions()), New("b", DefaultOptions())
 	a.Step(1, Tick{})
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -33,6 +33,9 @@
 	SilentSpan  sequoiasill.Millis
 	SilentProbe sequoiasill.Millis
 	MaxIdle     int // connections kept for one upstream
+	// Reset ends exchanges that are broken off by a reset, so that nothing of them which
+	// is still on its way comes later.
+	Reset bool
 }
 
 // DefaultOptions returns the options that entries use.
@@ -268,7 +271,7 @@
 		return nil, &Error{Verdict: sequoiasill.NotRun, Op: "send to " + r.Address, Err: ErrWithheld}
 	}
 	x := &Exchange{connector: c, conn: k, upstream: r.Upstream, Reused: reused, written: make(chan error, 1)}
-	x.stopWatch = context.AfterFunc(ctx, func() { _ = k.net.Close() })
+	x.stopWatch = context.AfterFunc(ctx, func() { c.breakOff(k.net) })
 	head := encodeHead(r)
 	if len(r.Body) <= inlineBody {
 		head = append(head, r.Body...)
@@ -339,17 +342,26 @@
 func (x *Exchange) abandon() {
 	x.closeOnce.Do(func() {
 		x.stopWatch()
-		_ = x.conn.net.Close()
+		x.connector.breakOff(x.conn.net)
 	})
 }
 
+// breakOff closes a connection on which an exchange has not ended.
+func (c *Connector) breakOff(n net.Conn) {
+	if tcp, ok := n.(*net.TCPConn); ok && c.opts.Reset {
+		// On a connection that is closed already there is nothing to reset.
+		_ = tcp.SetLinger(0)
+	}
+	_ = n.Close()
+}
+
 // Close ends the exchange. The connection is kept only if the answer was read to
 // its end and nothing speaks against it.
 func (x *Exchange) Close(whole bool) {
 	x.closeOnce.Do(func() {
 		cancelled := !x.stopWatch()
 		if !whole || cancelled || !x.reusable() {
-			_ = x.conn.net.Close()
+			x.connector.breakOff(x.conn.net)
 			return
 		}
 		x.connector.put(x.upstream, x.conn, x.connector.keepSpan(x.Response.Header))
--- a/standin/soaker/entry.go
+++ b/standin/soaker/entry.go
@@ -36,6 +36,9 @@
 	stopping bool          // it was asked to stop
 }
 
+// name is that of the instance.
+func (e *entry) name() string { return fmt.Sprintf("e%d", e.number) }
+
 func (e *entry) ip() string      { return fmt.Sprintf("127.%d.1.%d", e.world.network, e.number+1) }
 func (e *entry) callers() string { return fmt.Sprintf("%s:%d", e.ip(), portCallers) }
 func (e *entry) ready() string   { return fmt.Sprintf("%s:%d", e.ip(), portReady) }
@@ -46,7 +49,7 @@
 	for i := range min(len(e.world.entries), 3) {
 		seeds += fmt.Sprintf("%q,", fmt.Sprintf("%s:1", e.world.entries[i].ip()))
 	}
-	return fmt.Sprintf(`nodeName = "e%d"
+	return fmt.Sprintf(`nodeName = %q
 zone = "a"
 ip = %q
 internalPortRange = [%d,%d]
@@ -56,6 +59,7 @@
 ready = %q
 [bounds]
 drainMs = %d
+leaseMs = %d
 graceS = 6
 retryBudgetRatio = %g
 budgetSlack = %g
@@ -63,13 +67,13 @@
 quotaWindowS = 8
 usageWindowS = 2
 usageDelayS = 10
-fencingEnforced = true
+fencingEnforced = %t
 [platform]
 address = %q
 [cloudApi]
 address = %q
-`, e.number, e.ip(), portPeers, portPeers+1, seeds, e.callers(), e.ready(), int64(drainBound), e.world.opts.Repeats.Ratio, e.world.opts.Repeats.Slack,
-		e.world.opts.Repeats.Window.Seconds(), e.store.listener.Addr(), e.store.listener.Addr())
+`, e.name(), e.ip(), portPeers, portPeers+1, seeds, e.callers(), e.ready(), int64(drainBound), int64(leaseBound), e.world.opts.Repeats.Ratio, e.world.opts.Repeats.Slack,
+		e.world.opts.Repeats.Window.Seconds(), e.world.opts.fenced(), e.store.listener.Addr(), e.store.listener.Addr())
 }
 
 // start starts the process. Its output goes to a file of its own.
@@ -93,7 +97,7 @@
 	e.mu.Lock()
 	e.process, e.ended, e.stopping = cmd.Process, ended, false
 	e.mu.Unlock()
-	e.world.judge.disturb(e.number)
+	e.world.judge.disturb(e)
 	go func() {
 		err := cmd.Wait()
 		_ = out.Close()
@@ -116,7 +120,7 @@
 	defer e.mu.Unlock()
 	e.stopping = e.stopping || clean
 	if s != syscall.SIGHUP {
-		e.world.judge.disturb(e.number)
+		e.world.judge.disturb(e)
 	}
 	// A process that has ended meanwhile needs no signal.
 	_ = e.process.Signal(s)
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -76,6 +76,7 @@
 			time.Sleep(span)
 			e.store.set(none)
 			e.store.reset()
+			w.judge.disturb(e)
 		})
 	}},
 	{"reset an entry's connections to the store", false, func(w *World, _ time.Duration) { w.withEntry(func(e *entry) { e.store.reset() }) }},
@@ -234,8 +235,12 @@
 func (w *World) harmStore(f store.Faults, span time.Duration) {
 	w.withOne("store", 0, func() {
 		w.store.SetFaults(f)
-		time.Sleep(span)
+		for end := time.Now().Add(span); time.Now().Before(end); {
+			w.judge.storeTroubled()
+			time.Sleep(min(time.Until(end), storeSpan.Duration()/2))
+		}
 		w.store.SetFaults(store.Faults{})
+		w.judge.storeTroubled()
 	})
 }
 
--- a/standin/soaker/judge.go
+++ b/standin/soaker/judge.go
@@ -60,6 +60,7 @@
 	calls     map[string]*record
 	budget    *budget
 	heeding   *heeding
+	heals     heals // of the ways to the platform
 	faults    []string
 	revoked   map[string]time.Time // keys, by when the store had the configuration without them
 	leaving   map[string]time.Time // upstreams, by when the store showed that they drain
@@ -79,7 +80,7 @@
 
 func newJudge(repeats rationer.Limits) *judge {
 	return &judge{
-		calls: make(map[string]*record), budget: newBudget(repeats), heeding: newHeeding(drainBound), revoked: make(map[string]time.Time), leaving: make(map[string]time.Time), crashes: make(map[string]*crashes),
+		calls: make(map[string]*record), budget: newBudget(repeats), heeding: newHeeding(drainBound), heals: heals{entries: make(map[string][]sequoiasill.Millis)}, revoked: make(map[string]time.Time), leaving: make(map[string]time.Time), crashes: make(map[string]*crashes),
 		counts: Counts{Events: make(map[string]int)},
 	}
 }
@@ -166,10 +167,18 @@
 }
 
 // disturb notes that an entry is restarted, stands still or goes on.
-func (j *judge) disturb(entry int) {
+func (j *judge) disturb(e *entry) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.heeding.disturb(now(), entry)
+	j.heeding.disturb(now(), e.number)
+	j.heals.entries[e.name()] = append(j.heals.entries[e.name()], now())
+}
+
+// storeTroubled notes that a trouble of the platform is in progress, or ends.
+func (j *judge) storeTroubled() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.heals.store = append(j.heals.store, now())
 }
 
 const (
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -17,6 +17,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/standin/store"
 )
@@ -42,6 +43,9 @@
 	Dir      string          // for settings and logs
 }
 
+// fenced reports whether the platform refuses calls of duties with an old epoch.
+func (o Options) fenced() bool { return o.Seed%2 == 0 }
+
 // What upstreams can only pretend to say. The judge has to find it.
 const (
 	MuteLeaving = "leaving"
@@ -96,6 +100,7 @@
 		return nil, Counts{}, err
 	}
 	w.store = store.New(l, o.Seed, hclog.NewNullLogger())
+	w.store.SetFenced(o.fenced())
 	defer w.store.Close()
 	w.configure()
 	for service, n := range map[string]int{plain: o.Replicas, model: o.Engines} {
@@ -272,12 +277,14 @@
 	return nil
 }
 
-// checkDuties looks at what the platform got: one count for a window, and one
-// holder for an epoch.
+// checkDuties looks at what the platform got: one count for a window, one holder for an
+// epoch, and holders one after the other.
 func (w *World) checkDuties() {
 	counts := make(map[int64]string)
 	holders := make(map[uint64]string)
+	var calls []dutyCall
 	for _, u := range w.store.Usage() {
+		calls = append(calls, dutyCall{at: sequoiasill.Millis(u.At.UnixMilli()), holder: u.Holder, epoch: u.Epoch})
 		told := fmt.Sprint(u.Counts)
 		if before, ok := counts[u.Window]; ok && before != told {
 			w.judge.broken("usage of window %d was told as %s and as %s", u.Window, before, told)
@@ -288,4 +295,7 @@
 		}
 		holders[u.Epoch] = u.Holder
 	}
+	for _, b := range judgeTurns(calls, w.judge.heals) {
+		w.judge.broken("%s", b)
+	}
 }
--- a/standin/store/cloud.go
+++ b/standin/store/cloud.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // fence reads the holder and epoch of a duty's call and refuses an epoch that is
@@ -15,11 +16,11 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return "", 0, false
 	}
-	if epoch < s.epochs[subject] {
+	if epoch < s.epochs[subject] && !s.unfenced {
 		s.answer(w, http.StatusConflict, map[string]string{"error": "a higher fence was seen"})
 		return "", 0, false
 	}
-	s.epochs[subject] = epoch
+	s.epochs[subject] = max(epoch, s.epochs[subject])
 	return holder, epoch, true
 }
 
@@ -38,7 +39,7 @@
 	if !ok {
 		return
 	}
-	s.usage = append(s.usage, Usage{Holder: holder, Epoch: epoch, Window: body.WindowID, Counts: body.Counts})
+	s.usage = append(s.usage, Usage{Holder: holder, Epoch: epoch, Window: body.WindowID, Counts: body.Counts, At: time.Now()})
 	s.answer(w, http.StatusOK, struct{}{})
 }
 
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -59,6 +59,7 @@
 	Epoch  uint64
 	Window int64
 	Counts map[string]int
+	At     time.Time
 }
 
 // Scaling is a scaling order that was taken.
@@ -85,6 +86,7 @@
 	changed  chan struct{} // closed and replaced at each change
 	rand     *rand.Rand
 	epochs   map[string]uint64 // highest seen, by duty and subject
+	unfenced bool              // lower epochs are taken too
 	usage    []Usage
 	scaling  []Scaling
 	calls    int
@@ -123,6 +125,13 @@
 	s.faults = f
 }
 
+// SetFenced tells whether calls with an old epoch are refused, as they are at first.
+func (s *Store) SetFenced(fenced bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unfenced = !fenced
+}
+
 // DropHistory forgets all changes so far. Waiting watches are not told.
 func (s *Store) DropHistory() {
 	s.mu.Lock()
