Pass no refusal on that does not say that the call has not run

Seen in review, not by callers: an upstream's 503 or 429 without its own mark that the call was not run went to the caller as it was, who takes the status as a promise and sends a call that must not repeat again.

Change: such an answer counts as an error of the upstream; what may repeat goes elsewhere, anything else ends as 502.

Evidence: three cases of TestServe (503, 429, and 503 of what may repeat) failed before in the first two; all pass.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -188,6 +188,16 @@
 	return t.whole(ctx, a, timer)
 }
 
+// promisesNotRun reports whether a status tells callers that the call has not run and will
+// not.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // maxRefusalBytes bounds what is read of a refusal's body.
 const maxRefusalBytes = 64 << 10
 
@@ -213,6 +223,10 @@
 	case t.begun:
 		// A stream cannot go on with an answer of another kind.
 		return t.conclude(e, "no stream", "upstream did not resume the stream", "status", a.Status)
+	case promisesNotRun(a.Status):
+		// The upstream does not say so by its own means, and the caller would take it as a promise.
+		e.Kind = appraiser.Failed
+		return t.conclude(e, "error of the upstream", "upstream refused a call that may have run", "status", a.Status, "pause", a.Pause)
 	case a.Status >= http.StatusInternalServerError:
 		e.Kind = appraiser.Failed
 		t.spare = &spare{status: a.Status, header: a.Header, body: body}
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -253,6 +253,12 @@
 			"/once/x", "key", []step{{status: 503, refused: true}, good}, reply{Status: 200, Body: "good", Ended: true}, 2, 1},
 		"refusals by all": {
 			"/once/x", "key", []step{{status: 503, refused: true}}, reply{Status: 503, Ended: true, Wait: 250}, 3, 0},
+		"a refusal that does not say that the call did not run": {
+			"/once/x", "key", []step{{status: 503, body: "busy"}, good}, reply{Status: 502, Ended: true}, 1, 1},
+		"the same with a status that is no error of the upstream": {
+			"/once/x", "key", []step{{status: 429, body: "busy"}, good}, reply{Status: 502, Ended: true}, 1, 1},
+		"the same of what may repeat": {
+			"/read/x", "key", []step{{status: 503, body: "busy"}, good}, reply{Status: 200, Body: "good", Ended: true}, 2, 1},
 		"a forged success of what runs once": {
 			"/once/x", "key", []step{{status: 200, body: "forged", forged: true}, good}, reply{Status: 502, Ended: true}, 1, 1},
 		"an answer that broke off": {
