Count a pause in the soak only where the entry can hear of it

So the judge was wrong, not the entry: the rule excuses a cut, and an answer to a closed connection reaches nobody. All else that it counts stays.

The program of the entry is unchanged.

--- a/standin/soaker/judge.go
+++ b/standin/soaker/judge.go
@@ -157,12 +157,12 @@
 	}
 }
 
-// askPause notes that an upstream refuses a call and asks its entry for a pause.
-func (j *judge) askPause(id, upstream string, span sequoiasill.Millis) {
+// askPause notes that an upstream refused a call at a time and asked its entry for a pause.
+func (j *judge) askPause(at sequoiasill.Millis, id, upstream string, span sequoiasill.Millis) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if r, ok := j.calls[id]; ok {
-		j.heeding.asked(now(), way{r.entry, upstream}, span)
+		j.heeding.asked(at, way{r.entry, upstream}, span)
 	}
 }
 
--- a/standin/soaker/proxy.go
+++ b/standin/soaker/proxy.go
@@ -29,6 +29,7 @@
 	ended   time.Time     // of the last trouble
 	over    chan struct{} // closed when the trouble is over
 	conns   map[net.Conn]bool
+	dropped map[string]bool // connections to the target, by their own address, of which answers were dropped
 }
 
 // newProxy listens on an address and passes connections on to target.
@@ -37,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, over: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	p := &proxy{listener: l, target: target, over: make(chan struct{}), conns: make(map[net.Conn]bool), dropped: make(map[string]bool)}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -75,6 +76,20 @@
 	return p.trouble != none || time.Since(p.ended) < span
 }
 
+// passes reports whether answers on a connection to the target pass now and none was
+// dropped before.
+func (p *proxy) passes(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.trouble != freeze && !p.dropped[address]
+}
+
+func (p *proxy) drop(answersOf net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropped[answersOf.LocalAddr().String()] = true
+}
+
 // wait returns the trouble of the moment, and not before a freeze is over.
 func (p *proxy) wait() trouble {
 	for {
@@ -124,17 +139,17 @@
 	defer p.track(near, false)
 	defer p.track(far, false)
 	done := make(chan struct{}, 2)
-	go func() { p.copy(far, near, false); done <- struct{}{} }()
-	go func() { p.copy(near, far, true); done <- struct{}{} }()
+	go func() { p.copy(far, near, func() {}, false); done <- struct{}{} }()
+	go func() { p.copy(near, far, func() { p.drop(far) }, true); done <- struct{}{} }()
 	<-done
 }
 
 // longestDelay bounds the delay of a piece of data.
 const longestDelay = 150 * time.Millisecond
 
-// copy passes data on as the trouble of the moment has it. A silenced connection
-// stays silent after the trouble.
-func (p *proxy) copy(to io.Writer, from io.Reader, answers bool) {
+// copy passes data on as the trouble of the moment has it, and tells where it drops some. A
+// silenced connection stays silent after the trouble.
+func (p *proxy) copy(to io.Writer, from io.Reader, dropped func(), answers bool) {
 	buf := make([]byte, 16<<10)
 	silent := false
 	for {
@@ -144,6 +159,9 @@
 		if t == delay {
 			time.Sleep(rand.N(longestDelay))
 		}
+		if n > 0 && silent {
+			dropped()
+		}
 		if n > 0 && !silent {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
