--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -53,6 +53,13 @@
 	Slots   int
 }
 
+// Limit is what an answer says of the calls that its upstream takes from all entries.
+type Limit struct {
+	Told      bool // the answer is the upstream's, so that a limit which it does not name is over
+	Limited   bool
+	PerSecond float64 // calls
+}
+
 // Outcome is how a call at an upstream ended.
 type Outcome int
 
@@ -118,6 +125,7 @@
 	pause     sequoiasill.Millis
 	pausedTo  sequoiasill.Millis
 	restTo    sequoiasill.Millis // end of the pause that it asked for
+	named     Limit              // with its last answer
 	window    int                // calls that it may have after a pause, 0 for any number
 	earlier   int                // calls that were sent before it
 }
@@ -197,6 +205,17 @@
 	return s.restTo
 }
 
+// NamesLimit takes in what an answer says of the calls that the start of an upstream takes.
+// It returns what it said before, and whether that differs.
+func (r *Registrar) NamesLimit(n sequoiasill.Replica, l Limit) (before Limit, changed bool) {
+	s, ok := r.replicas[n.Name]
+	if !ok || !l.Told || s.replica.Born != n.Born {
+		return Limit{}, false
+	}
+	before, s.named = s.named, l
+	return before, before.Limited != l.Limited || before.PerSecond != l.PerSecond
+}
+
 // MaySend reports whether a call may still be sent to the start of an upstream that it
 // was to go to.
 func (r *Registrar) MaySend(now sequoiasill.Millis, n sequoiasill.Replica) bool {
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -42,6 +42,7 @@
 	arrivalsThen int
 	first        sequoiasill.Millis // from the begin to the first event, 0 before it
 	withheld     bool               // the upstream may not have the call any longer
+	limit        registrar.Limit    // that the answer tells
 	cancel       context.CancelCauseFunc
 }
 
@@ -119,6 +120,9 @@
 	if !t.d.log.IsInfo() {
 		return
 	}
+	if t.limit.Limited {
+		args = append(args, "limit", t.limit.PerSecond)
+	}
 	t.d.log.Info("attempt", append([]any{
 		"request", t.call.ID, "route", t.route.Name, "config", t.version, "upstream", t.choice.Replica.Name,
 		"zone", t.choice.Replica.Zone, "cost", int(t.choice.Cost), "prefill", t.choice.Prefill, "home", t.choice.Home, "candidates", t.choice.Choices, "reportAge", t.choice.Age,
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -44,6 +44,7 @@
 	Events    bool               // a stream of events
 	Leaving   bool               // the upstream says that it leaves
 	Pause     sequoiasill.Millis // for which the upstream wants no call, 0 for none
+	Limit     registrar.Limit    // on the calls that the upstream takes from all entries
 	Load      registrar.Load
 	HasLoad   bool
 	Body      io.Reader
