--- a/cmd/sequoia-soak/main.go
+++ b/cmd/sequoia-soak/main.go
@@ -77,6 +77,9 @@
 	for _, f := range counts.Fullest {
 		fmt.Printf("  repeats at %s: %d of %.0f in the fullest window, %d in all\n", f.Service, f.Repeats, f.Allowed, counts.Repeats)
 	}
+	if counts.Limited > 0 {
+		fmt.Printf("  %d calls came to upstreams whose limits held, %.0f%% of what is allowed in the fullest window\n", counts.Limited, counts.FullestLimit*100)
+	}
 	for _, name := range slices.Sorted(maps.Keys(counts.Events)) {
 		fmt.Printf("  %3d %s\n", counts.Events[name], name)
 	}
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -35,6 +35,9 @@
 	{"ask for pauses", false, func(w *World, span time.Duration) {
 		w.withReplica(func(r *replica) { each([]*replica{r}, span, askForPauses) })
 	}},
+	{limitReplica, false, func(w *World, span time.Duration) {
+		w.withReplica(func(r *replica) { w.limit([]*replica{r}, span) })
+	}},
 	{"kill an entry", false, func(w *World, _ time.Duration) {
 		w.withEntry(func(e *entry) { e.restart(e.signal(syscall.SIGKILL), 300*time.Millisecond) })
 	}},
--- a/standin/soaker/judge.go
+++ b/standin/soaker/judge.go
@@ -46,6 +46,7 @@
 	kind   kind
 	entry  int    // that the call is sent to
 	leaver string // upstream that said with the answer that it leaves, empty for none
+	named  string // upstream that named a limit with the answer, empty for none
 	key    string
 	sent   time.Time
 	runs   int
@@ -60,6 +61,7 @@
 	calls     map[string]*record
 	budget    *budget
 	heeding   *heeding
+	limits    *limits
 	heals     heals // of the ways to the platform
 	faults    []string
 	revoked   map[string]time.Time // keys, by when the store had the configuration without them
@@ -76,11 +78,13 @@
 	Events                            map[string]int // by kind of fault or planned work
 	Repeats                           int
 	Fullest                           []auditor.Window // of the bound on repeats, by service
+	Limited                           int              // calls that came to upstreams whose limit held
+	FullestLimit                      float64          // part of what is allowed that came in the fullest window
 }
 
 func newJudge(repeats rationer.Limits) *judge {
 	return &judge{
-		calls: make(map[string]*record), budget: newBudget(repeats), heeding: newHeeding(drainBound), heals: heals{entries: make(map[string][]sequoiasill.Millis)}, revoked: make(map[string]time.Time), leaving: make(map[string]time.Time), crashes: make(map[string]*crashes),
+		calls: make(map[string]*record), budget: newBudget(repeats), heeding: newHeeding(drainBound), limits: newLimits(), heals: heals{entries: make(map[string][]sequoiasill.Millis)}, revoked: make(map[string]time.Time), leaving: make(map[string]time.Time), crashes: make(map[string]*crashes),
 		counts: Counts{Events: make(map[string]int)},
 	}
 }
@@ -141,9 +145,9 @@
 	j.budget.arrived(now(), id, service, limit, heldUp)
 }
 
-// reach notes that a call comes to the upstream that it was meant for, which says that
-// it leaves, or not.
-func (j *judge) reach(id, upstream string, leaves bool) {
+// reach notes that a call comes to the upstream that it was meant for, which says with the
+// answer that it leaves, or not, and names a limit or none.
+func (j *judge) reach(id, upstream string, leaves, limited bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	r, ok := j.calls[id]
@@ -151,10 +155,25 @@
 		return
 	}
 	j.heeding.arrived(now(), sequoiasill.Millis(r.sent.UnixMilli()), way{r.entry, upstream})
-	r.leaver = ""
+	j.limits.arrived(now(), way{r.entry, upstream})
+	r.leaver, r.named = "", ""
 	if leaves {
 		r.leaver = upstream
 	}
+	if limited {
+		r.named = upstream
+	}
+}
+
+// limit notes that an upstream names a limit in its answers from now on, 0 for none.
+func (j *judge) limit(upstream string, rate float64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if rate == 0 {
+		j.limits.lifted(upstream)
+		return
+	}
+	j.limits.named(now(), upstream, rate)
 }
 
 // askPause notes that an upstream refused a call at a time and asked its entry for a pause.
@@ -171,6 +190,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.heeding.disturb(now(), e.number)
+	j.limits.disturb(now(), e.number)
 	j.heals.entries[e.name()] = append(j.heals.entries[e.name()], now())
 }
 
@@ -233,6 +253,9 @@
 	if r.leaver != "" && status != http.StatusServiceUnavailable {
 		j.heeding.passedOn(now(), way{r.entry, r.leaver})
 	}
+	if r.named != "" && status != http.StatusServiceUnavailable {
+		j.limits.passedOn(now(), way{r.entry, r.named})
+	}
 	switch status {
 	case http.StatusOK:
 		j.counts.Good++
@@ -309,5 +332,6 @@
 		}
 	}
 	j.counts.Repeats, j.counts.Fullest = j.budget.audit.Repeats(), j.budget.audit.Worst(j.budget.bound)
-	return slices.Concat(j.faults, j.budget.findings(), j.heeding.broken), j.counts
+	j.counts.Limited, j.counts.FullestLimit = j.limits.counted, j.limits.fullest
+	return slices.Concat(j.faults, j.budget.findings(), j.heeding.broken, j.limits.broken), j.counts
 }
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -32,6 +32,7 @@
 	pause   atomic.Int64 // milliseconds that it wants no call for after a refusal
 	leaving atomic.Bool  // it says so in all its answers
 	slow    atomic.Int64 // milliseconds that each call takes beyond its time
+	limit   atomic.Int64 // calls that it takes in a thousand seconds from all entries, 0 for any number
 
 	mu    sync.Mutex
 	state string
@@ -126,6 +127,15 @@
 	}
 }
 
+// perSecond returns a number of calls in a thousand seconds as one a second.
+func perSecond(limit int64) float64 { return float64(limit) / 1000 }
+
+// setLimit lets the replica name a limit in its answers, 0 for none.
+func (r *replica) setLimit(limit int64) {
+	r.limit.Store(limit)
+	r.judge.limit(r.id, perSecond(limit))
+}
+
 // crashName ends the path of requests that crash the replicas that run them.
 const crashName = "crash"
 
@@ -173,7 +183,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	r.judge.reach(id, r.id, leaves)
+	limit := r.limit.Load()
+	if limit > 0 {
+		r.tell(w, MuteLimit, "Server-Limit", strconv.FormatFloat(perSecond(limit), 'f', -1, 64))
+	}
+	r.judge.reach(id, r.id, leaves, limit > 0)
 	if r.active.Add(1) > slots || rand.Int64N(1000) < r.shed.Load() {
 		r.active.Add(-1)
 		r.refuse(w, req, id)
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -38,7 +38,7 @@
 	Storm    bool            // faults under which calls are wanted to be sent again
 	Only     string          // name of the only fault to play, empty for all
 	Repeats  rationer.Limits // on repeats, as the settings of the entries name it
-	Mute     string          // what upstreams only pretend to say, so that no entry heeds it: MuteLeaving, MutePause
+	Mute     string          // what upstreams only pretend to say, so that no entry heeds it: MuteLeaving, MutePause, MuteLimit
 	Binary   string          // of the entry
 	Dir      string          // for settings and logs
 }
@@ -50,6 +50,7 @@
 const (
 	MuteLeaving = "leaving"
 	MutePause   = "pause"
+	MuteLimit   = "limit"
 )
 
 // settleSpan is how long traffic goes on without faults at the end.
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -50,12 +50,22 @@
 	})
 }
 
+// All entries together keep to the limit that an upstream names.
+func TestEntriesTogetherKeepToLimits(t *testing.T) {
+	play(t, soaker.Options{
+		Seed: 2, Span: 12 * time.Second, Only: "limit a replica", Binary: build(t),
+		Entries: 3, Replicas: 3, Engines: 3, Callers: 16, Rate: 150,
+		Repeats: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+	})
+}
+
 // Entries that do not heed what upstreams say are found: these only pretend to say it.
 func TestEntriesThatDoNotHeedAreFound(t *testing.T) {
 	binary := build(t)
 	for name, tc := range map[string]struct{ mute, only, want string }{
 		"leaving": {soaker.MuteLeaving, "replace a replica that tells it to its callers only", "had passed on that"},
 		"pauses":  {soaker.MutePause, "ask for pauses", "had asked for a pause"},
+		"limits":  {soaker.MuteLimit, "limit a replica", "had passed on its limit"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/standin/soaker/storms.go
+++ b/standin/soaker/storms.go
@@ -26,6 +26,7 @@
 	{"refuse calls of a service", false, func(w *World, span time.Duration) {
 		each(w.all(), span, func(r *replica, on bool) { r.shed.Store(whileOn(700, on)) })
 	}},
+	{"limit a service", false, func(w *World, span time.Duration) { w.limit(w.all(), span) }},
 	{"ask for pauses of a service", false, func(w *World, span time.Duration) { each(w.all(), span, askForPauses) }},
 	{"slow a service down", false, func(w *World, span time.Duration) {
 		each(w.all(), span, func(r *replica, on bool) { r.slow.Store(whileOn(800, on)) })
@@ -53,6 +54,30 @@
 	r.pause.Store(whileOn(1800, on))
 }
 
+const (
+	limitReplica = "limit a replica"
+	// leastLimit and mostLimit bound the limits that replicas name, in calls in a thousand
+	// seconds.
+	leastLimit = 400
+	mostLimit  = 12_000
+)
+
+// limit lets replicas name limits for a span and the time from which on they are judged.
+// Half of them name another one in the middle.
+func (w *World) limit(replicas []*replica, span time.Duration) {
+	span += limitGrace.Duration()
+	for range 2 {
+		each(replicas, span/2, func(r *replica, on bool) {
+			if on && (r.limit.Load() == 0 || w.draw(2) == 0) {
+				r.setLimit(leastLimit + int64(w.draw(mostLimit-leastLimit)))
+			}
+		})
+	}
+	for _, r := range replicas {
+		r.setLimit(0)
+	}
+}
+
 // whileOn returns the strength of a fault while it is on, and 0 else.
 func whileOn(strength int64, on bool) int64 {
 	if on {
