Grant the calls of upstreams that limit them by one keeper for all entries

Cause: no code read the limit. Had each entry heeded it alone, the sum would still have been the number of entries too high: at 1.6 a second 14 calls may come in 4 s, which is one call each of 9 entries and a half. The class is a bound over all entries that each entry's own view cannot keep.

Change: one entry keeps the limit of an upstream and grants each call (decide/throttler, relay/exchanger/limits.go; docs/design/platform.md weighs the ways). It counts what it granted until it came, and what entries sent before they knew; all entries hear of a limit by urgent news. What is denied goes elsewhere or is refused at once with the time at which a place is expected.

--- a/decide/assigner/assigner.go
+++ b/decide/assigner/assigner.go
@@ -65,6 +65,7 @@
 	Home    bool               // it is the one that the prompt's shared parts hash to
 	Choices int                // upstreams that were weighed
 	Age     sequoiasill.Millis // of its last load report, -1 for none
+	Limited bool               // the call needs a permit there
 }
 
 // Assigner chooses upstreams. It is not safe for concurrent use.
@@ -115,7 +116,7 @@
 	if c.Replica.Zone != req.Zone {
 		cost += a.opts.ZoneCost
 	}
-	return Choice{Replica: c.Replica, Cost: cost, Prefill: max(prefill, 0), Home: home, Age: c.Age}
+	return Choice{Replica: c.Replica, Cost: cost, Prefill: max(prefill, 0), Home: home, Age: c.Age, Limited: c.Limited}
 }
 
 func sharedTokens(p sequoiasill.Prompt) int {
--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -53,13 +53,6 @@
 	Slots   int
 }
 
-// Limit is what an answer says of the calls that its upstream takes from all entries.
-type Limit struct {
-	Told      bool // the answer is the upstream's, so that a limit which it does not name is over
-	Limited   bool
-	PerSecond float64 // calls
-}
-
 // Outcome is how a call at an upstream ended.
 type Outcome int
 
@@ -81,6 +74,7 @@
 	Others   float64            // calls of other entries at it, as far as reports tell
 	Waiting  float64            // calls in its queue by the last report, weighed by its age
 	Failures float64            // part of its recent calls that failed
+	Limited  bool               // it limits its calls: one needs a permit
 	Age      sequoiasill.Millis // of the last report, -1 for none
 }
 
@@ -125,9 +119,9 @@
 	pause     sequoiasill.Millis
 	pausedTo  sequoiasill.Millis
 	restTo    sequoiasill.Millis // end of the pause that it asked for
-	named     Limit              // with its last answer
-	window    int                // calls that it may have after a pause, 0 for any number
-	earlier   int                // calls that were sent before it
+	limit     limit
+	window    int // calls that it may have after a pause, 0 for any number
+	earlier   int // calls that were sent before it
 }
 
 // New returns a registrar that knows no upstream, with a seeded random source.
@@ -151,6 +145,9 @@
 		if known {
 			next.own, next.prefill = s.own, s.prefill
 		}
+		if known && n.Born == s.replica.Born {
+			next.limit = s.limit
+		}
 		s = next
 		r.replicas[n.Name] = s
 	}
@@ -205,22 +202,11 @@
 	return s.restTo
 }
 
-// NamesLimit takes in what an answer says of the calls that the start of an upstream takes.
-// It returns what it said before, and whether that differs.
-func (r *Registrar) NamesLimit(n sequoiasill.Replica, l Limit) (before Limit, changed bool) {
-	s, ok := r.replicas[n.Name]
-	if !ok || !l.Told || s.replica.Born != n.Born {
-		return Limit{}, false
-	}
-	before, s.named = s.named, l
-	return before, before.Limited != l.Limited || before.PerSecond != l.PerSecond
-}
-
 // MaySend reports whether a call may still be sent to the start of an upstream that it
-// was to go to.
-func (r *Registrar) MaySend(now sequoiasill.Millis, n sequoiasill.Replica) bool {
+// was to go to, with a permit or without.
+func (r *Registrar) MaySend(now sequoiasill.Millis, n sequoiasill.Replica, permitted bool) bool {
 	s, ok := r.replicas[n.Name]
-	return ok && s.replica.Born == n.Born && !s.gone && !s.replica.Draining && s.restTo <= now
+	return ok && s.replica.Born == n.Born && !s.gone && !s.replica.Draining && s.restTo <= now && (permitted || !s.limit.holds)
 }
 
 // Expected returns how long it is until an upstream of a service may get a call again,
@@ -231,7 +217,7 @@
 		if s.replica.Service != service || s.gone || s.replica.Draining {
 			continue
 		}
-		wait := max(s.restTo, s.pausedTo) - now
+		wait := max(s.restTo, s.pausedTo, s.limit.deniedTo) - now
 		if wait <= 0 {
 			return 0, false
 		}
@@ -404,7 +390,7 @@
 }
 
 func (s *state) usable(now sequoiasill.Millis) bool {
-	return !s.gone && !s.replica.Draining && s.pausedTo <= now && s.restTo <= now && (s.window == 0 || s.own-s.earlier < s.window)
+	return !s.gone && !s.replica.Draining && s.pausedTo <= now && s.restTo <= now && s.limit.deniedTo <= now && (s.window == 0 || s.own-s.earlier < s.window)
 }
 
 // callPrior is the calls that a failure rate starts with, so that one failure of
@@ -412,7 +398,7 @@
 const callPrior = 4
 
 func (s *state) candidate(now sequoiasill.Millis, opts Options) Candidate {
-	c := Candidate{Age: -1, Replica: s.replica, Own: s.own, Prefill: s.prefill}
+	c := Candidate{Age: -1, Replica: s.replica, Own: s.own, Prefill: s.prefill, Limited: s.limit.holds}
 	s.decay(now, opts.FailureSpan)
 	c.Failures = s.failures / (s.calls + callPrior)
 	if s.reported {
--- /dev/null
+++ b/decide/throttler/throttler_test.go
@@ -0,0 +1,248 @@
+package throttler_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/throttler"
+)
+
+// begin is when the keeper of the tests has been at work for long.
+const begin = 100 * sequoiasill.Second
+
+var up = throttler.Upstream{Name: "i-1", Born: 1}
+
+// keeper returns a throttler that knows what all of two entries sent.
+func keeper(rate float64) *throttler.Throttler {
+	t := throttler.New(0, "k", 1)
+	t.SetMembers([]string{"e1", "e2"}, 2)
+	t.Tick(begin)
+	t.Named(begin, begin, up, rate)
+	t.Reported(begin, up, report("e1", "p", throttler.Sends{}))
+	t.Reported(begin, up, report("e2", "p", throttler.Sends{}))
+	return t
+}
+
+// report is the first one of a process.
+func report(entry, process string, s throttler.Sends) throttler.Report {
+	return throttler.Report{Entry: entry, Process: process, Number: 1, Sends: []throttler.Sends{s}}
+}
+
+func call(id uint64) throttler.Call { return throttler.Call{Process: "p", ID: id} }
+
+// granted asks every 10 ms over a span and returns how many calls were granted, which come
+// at once.
+func granted(t *throttler.Throttler, from, span sequoiasill.Millis) int {
+	n := 0
+	for at := from; at < from+span; at += 10 {
+		t.Tick(at)
+		id := uint64(at)
+		if t.Ask(at, up, "e1", call(id)).Granted {
+			t.Ended(at, up, call(id), throttler.Came)
+			n++
+		}
+	}
+	return n
+}
+
+func TestGrantsFollowTheLimit(t *testing.T) {
+	for name, tc := range map[string]struct {
+		rate float64
+		want int // in 20 s
+	}{
+		"under one a second": {0.5, 10},
+		"some":               {1.6, 32},
+		"many":               {40, 800},
+		"none":               {0, 2}, // to learn that it is over
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := granted(keeper(tc.rate), begin, 20*sequoiasill.Second)
+			if got < tc.want-1 || got > tc.want+1 {
+				t.Errorf("%d calls granted, %d are wanted", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestAsk(t *testing.T) {
+	type want struct{ Granted, Free bool }
+	const at = begin + 2*sequoiasill.Second
+	tests := map[string]struct {
+		still sequoiasill.Millis // without a tick before
+		play  func(t *throttler.Throttler)
+		want  want
+	}{
+		"a place is free":      {600, func(*throttler.Throttler) {}, want{Granted: true}},
+		"the places are taken": {1000, func(t *throttler.Throttler) { granted(t, at-1000, 1000); granted(t, at, 10) }, want{}},
+		"the same number of another process": {600, func(t *throttler.Throttler) {
+			t.Ask(at, up, "e2", throttler.Call{Process: "q", ID: 7})
+		}, want{}},
+		"asked twice": {600, func(t *throttler.Throttler) { t.Ask(at, up, "e1", call(7)) }, want{Granted: true}},
+		"given back unsent": {600, func(t *throttler.Throttler) {
+			t.Ask(at, up, "e1", call(6))
+			t.Ended(at, up, call(6), throttler.Unsent)
+		}, want{Granted: true}},
+		"a limit that is over": {600, func(t *throttler.Throttler) {
+			t.Ask(at-500, up, "e2", call(5))
+			t.Answered(at, up, call(5), 0, false)
+		}, want{Free: true}},
+		"one that came again": {600, func(t *throttler.Throttler) {
+			t.Ask(at-500, up, "e2", call(5))
+			t.Answered(at-100, up, call(5), 0, false)
+			t.Named(at-50, at-50, up, 1)
+		}, want{}},
+		"one that was named before its end": {600, func(t *throttler.Throttler) {
+			t.Ask(at-500, up, "e2", call(5))
+			t.Answered(at-100, up, call(5), 0, false)
+			t.Named(at-50, at-150, up, 1)
+		}, want{Free: true}},
+		"an answer from before it was named": {600, func(t *throttler.Throttler) {
+			t.Ask(at-500, up, "e2", call(5))
+			t.Named(at-100, at-100, up, 1)
+			t.Answered(at, up, call(5), 0, false)
+		}, want{Granted: true}},
+		"the keeper stood still": {1200, func(*throttler.Throttler) {}, want{}},
+		"a process started anew": {600, func(t *throttler.Throttler) {
+			t.Reported(at, up, report("e2", "q", throttler.Sends{Ages: make([]sequoiasill.Millis, 10)}))
+		}, want{}},
+		"an entry joined": {600, func(t *throttler.Throttler) { t.SetMembers([]string{"e1", "e2", "e3"}, 3) }, want{}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			k := keeper(1)
+			for now := begin; now < at-tc.still; now += 100 {
+				k.Tick(now)
+			}
+			tc.play(k)
+			d := k.Ask(at, up, "e1", call(7))
+			if diff := cmp.Diff(tc.want, want{d.Granted, d.Free}); diff != "" {
+				t.Errorf("decision (-want +got):\n%s", diff)
+			}
+			if waits := d.Wait > 0; waits == (d.Granted || d.Free) {
+				t.Errorf("wait %s beside %+v", d.Wait, d)
+			}
+		})
+	}
+}
+
+// A keeper that begins grants once it knows what all entries sent, or once that no longer
+// counts.
+func TestKeeperThatBeginsWaits(t *testing.T) {
+	tests := map[string]struct {
+		tell  func(t *throttler.Throttler)
+		first sequoiasill.Millis // when the first call is granted
+	}{
+		"nobody tells":     {func(*throttler.Throttler) {}, throttler.CountSpan},
+		"one of two tells": {func(t *throttler.Throttler) { t.Reported(begin, up, report("e1", "p", throttler.Sends{})) }, throttler.CountSpan},
+		"both tell": {func(t *throttler.Throttler) {
+			t.Reported(begin, up, report("e1", "p", throttler.Sends{}))
+			t.Reported(begin, up, report("e2", "p", throttler.Sends{}))
+		}, 500},
+		"both tell of many calls": {func(t *throttler.Throttler) {
+			ages := make([]sequoiasill.Millis, 20)
+			for i := range ages {
+				ages[i] = sequoiasill.Millis(i) * 200
+			}
+			t.Reported(begin, up, report("e1", "p", throttler.Sends{Ages: ages}))
+			t.Reported(begin, up, report("e2", "p", throttler.Sends{Open: 2}))
+		}, 2300},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			k := throttler.New(0, "k", 1)
+			k.SetMembers([]string{"e1", "e2"}, 2)
+			k.Tick(begin)
+			k.Named(begin, begin, up, 2)
+			tc.tell(k)
+			for at := begin; at < begin+10*sequoiasill.Second; at += 100 {
+				k.Tick(at)
+				if !k.Ask(at, up, "e1", call(1)).Granted {
+					continue
+				}
+				if late := at - begin - tc.first; late < 0 || late > 200 {
+					t.Errorf("first call granted after %s, %s is wanted", at-begin, tc.first)
+				}
+				return
+			}
+			t.Error("no call granted")
+		})
+	}
+}
+
+// What may still come fills the places of what could come at once.
+func TestHeldUpCallsFillTheirPlaces(t *testing.T) {
+	k := keeper(1.6)
+	n := 0
+	for at := begin; at < begin+9*sequoiasill.Second; at += 50 {
+		k.Tick(at)
+		if k.Ask(at, up, "e1", call(uint64(at))).Granted {
+			n++
+		}
+	}
+	if n > 13 {
+		t.Errorf("%d calls were granted of which none came; 14.6 may come at once", n)
+	}
+}
+
+// An entry that sees few of the others grants its part only.
+func TestIslandGrantsItsPart(t *testing.T) {
+	for name, tc := range map[string]struct {
+		seen, sharers, want int // in 20 s at 2 calls a second
+	}{
+		"all":       {9, 9, 40},
+		"most":      {5, 9, 40},
+		"few":       {3, 9, 13},
+		"one alone": {1, 8, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			k := throttler.New(0, "k", 1)
+			var names []string
+			for i := range tc.seen {
+				names = append(names, fmt.Sprint("e", i))
+			}
+			k.SetMembers(names, tc.sharers)
+			k.Tick(begin)
+			k.Named(begin, begin, up, 2)
+			for _, name := range names {
+				k.Reported(begin, up, report(name, "p", throttler.Sends{}))
+			}
+			got := granted(k, begin, 20*sequoiasill.Second)
+			if got < tc.want-1 || got > tc.want+1 {
+				t.Errorf("%d calls granted, %d are wanted", got, tc.want)
+			}
+		})
+	}
+}
+
+// Entries that are told to wait ask together a few times for each call, not each at once.
+func TestAsksStayFew(t *testing.T) {
+	const entries, rate, span = 295, 1.6, 60 * sequoiasill.Second
+	k := throttler.New(0, "k", 1)
+	k.SetMembers([]string{"e1"}, 1)
+	k.Tick(begin)
+	k.Named(begin, begin, up, rate)
+	k.Reported(begin, up, report("e1", "p", throttler.Sends{}))
+	next := make([]sequoiasill.Millis, entries)
+	asks := 0
+	for at := begin; at < begin+span; at += 10 {
+		k.Tick(at)
+		for e := range next {
+			if at < next[e] {
+				continue
+			}
+			asks++
+			id := uint64(at)<<16 | uint64(e)
+			if d := k.Ask(at, up, fmt.Sprint(e), call(id)); d.Granted {
+				k.Ended(at, up, call(id), throttler.Came)
+			} else {
+				next[e] = at + d.Wait
+			}
+		}
+	}
+	if perSecond := float64(asks) / span.Duration().Seconds(); perSecond > 100 {
+		t.Errorf("%.0f asks a second of %d entries", perSecond, entries)
+	}
+}
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -13,6 +13,7 @@
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
+	"sequoiasill.dev/sequoiasill/decide/throttler"
 )
 
 // mostUrgent and leastUrgent bound the urgency that engines take.
@@ -43,6 +44,8 @@
 	first        sequoiasill.Millis // from the begin to the first event, 0 before it
 	withheld     bool               // the upstream may not have the call any longer
 	limit        registrar.Limit    // that the answer tells
+	permit       *throttler.Permit  // nil where the upstream limits no calls
+	departed     bool               // something may have been sent
 	cancel       context.CancelCauseFunc
 }
 
@@ -50,11 +53,12 @@
 var errGivenUp = errors.New("no answer in time")
 
 // attempt sends the call to one upstream and delivers its answer if that is good.
-func (d *Dispatcher) attempt(ctx context.Context, j *job, choice assigner.Choice, send *rationer.Send) (next, string) {
+func (d *Dispatcher) attempt(ctx context.Context, j *job, p placement) (next, string) {
+	choice := p.choice
 	j.tried[choice.Replica.Name] = true
 	actx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, began: d.clock.Now(), arrivalsThen: j.arrivals, cancel: cancel}
+	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, began: d.clock.Now(), arrivalsThen: j.arrivals, permit: p.permit, cancel: cancel}
 	a := Attempt{
 		Call: j.call, Replica: choice.Replica, Left: j.deadline - t.began, Urgency: j.urgency(), After: j.after, MaySend: t.maySend,
 	}
@@ -67,10 +71,12 @@
 	if err != nil {
 		timer.stop()
 		e := unanswered(actx, err, t.withheld)
-		d.sendEnded(send, appraiser.Appraise(e).Send)
+		t.landed(e.Kind, registrar.Limit{})
+		d.sendEnded(p.send, appraiser.Appraise(e).Send)
 		return t.failed(e, err, context.Cause(actx))
 	}
-	d.sendEnded(send, rationer.Answered)
+	t.landed(appraiser.Answered, answer.Limit)
+	d.sendEnded(p.send, rationer.Answered)
 	return t.judge(actx, answer, timer)
 }
 
@@ -101,7 +107,10 @@
 func (t *try) maySend() bool {
 	t.d.mu.Lock()
 	defer t.d.mu.Unlock()
-	t.withheld = !t.d.registrar.MaySend(t.d.clock.Now(), t.choice.Replica)
+	t.withheld = !t.d.registrar.MaySend(t.d.clock.Now(), t.choice.Replica, t.permit != nil)
+	if !t.withheld {
+		t.departs()
+	}
 	return !t.withheld
 }
 
@@ -147,7 +156,7 @@
 func (t *try) failed(e appraiser.End, err, cause error) (next, string) {
 	switch e.Kind {
 	case appraiser.Withheld:
-		return t.conclude(e, "withheld", "upstream leaves or rests")
+		return t.conclude(e, "withheld", "upstream leaves, rests or limits its calls")
 	case appraiser.NotSent:
 		return t.conclude(e, "not sent", "upstream cannot be reached", "error", err)
 	}
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
+	"sequoiasill.dev/sequoiasill/decide/throttler"
 )
 
 // Attempt is one send of a call to an upstream.
@@ -78,6 +79,18 @@
 	Condemned(f blamer.Fingerprint, until sequoiasill.Millis)
 	// Left tells of an upstream whose present start said that it leaves.
 	Left(upstream string, born sequoiasill.Millis)
+	Limits
+}
+
+// Limits shares out the calls of upstreams that limit how many they take from all entries.
+type Limits interface {
+	// LimitNamed tells that an answer here was the first to name the limit of an upstream.
+	LimitNamed(u throttler.Upstream, perSecond float64)
+	// Ask asks the entry that keeps the limit of an upstream whether a call may go there.
+	Ask(ctx context.Context, u throttler.Upstream) (throttler.Permit, throttler.Decision)
+	// Used tells how the call ended that a permit was given for, and what the answer says
+	// of the limit.
+	Used(p throttler.Permit, e throttler.End, l registrar.Limit)
 }
 
 // Versions divide the calls of services that move to another version.
@@ -100,6 +113,9 @@
 	Repeated(service string, allowed bool)
 	// Told counts what upstreams say of themselves, here or to another entry.
 	Told(what, source string)
+	// Permitted counts an answer to a wish to send a call to an upstream that limits its
+	// calls.
+	Permitted(granted, free bool)
 }
 
 // Options configure a Dispatcher.
@@ -109,6 +125,9 @@
 	AnswerBytes int
 	// Refusals is how many upstreams may refuse a call before it is given up.
 	Refusals int
+	// Denials is how many upstreams that limit their calls may deny a call until it goes to
+	// others only.
+	Denials int
 	// GiveUpPart is the part of a route's aimed latency, in percent, after which an
 	// attempt without an answer is given up where the call may be repeated.
 	GiveUpPart int
@@ -122,7 +141,7 @@
 
 // DefaultOptions returns the options that entries use.
 func DefaultOptions() Options {
-	return Options{AnswerBytes: 4 << 20, Refusals: 4, GiveUpPart: 150, RetryAfter: 250, StreamSpan: 4 * sequoiasill.Second}
+	return Options{AnswerBytes: 4 << 20, Refusals: 4, Denials: 3, GiveUpPart: 150, RetryAfter: 250, StreamSpan: 4 * sequoiasill.Second}
 }
 
 // Decisions are the state machines that a dispatcher drives.
--- a/relay/dispatcher/giveup.go
+++ b/relay/dispatcher/giveup.go
@@ -60,7 +60,7 @@
 	if g.over || t.deadline-now < g.span {
 		return
 	}
-	if _, ok := d.choose(now, t.job); !ok || !g.takeRepeat(now) {
+	if !d.isAnother(now, t.job) || !g.takeRepeat(now) {
 		if !g.late {
 			g.late = true
 			d.registrar.Late(now, t.choice.Replica.Name)
--- a/relay/dispatcher/heed.go
+++ b/relay/dispatcher/heed.go
@@ -19,20 +19,7 @@
 		t.d.rest(r, a.Pause)
 	}
 	t.limit = a.Limit
-	t.d.noteLimit(r, a.Limit)
-}
-
-// noteLimit takes in what an answer says of the calls that an upstream takes.
-func (d *Dispatcher) noteLimit(r sequoiasill.Replica, l registrar.Limit) {
-	var before registrar.Limit
-	var changed bool
-	d.Registrar(func(g *registrar.Registrar) { before, changed = g.NamesLimit(r, l) })
-	if !changed {
-		return
-	}
-	d.meter.Told("limit", "answer")
-	d.log.Info("upstream names another limit", "upstream", r.Name, "service", r.Service, "limited", l.Limited, "perSecond", l.PerSecond,
-		"before", before.PerSecond)
+	t.d.namesLimit(r, a.Limit)
 }
 
 // Left takes in that the start of an upstream said that it leaves. It returns false if
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -13,6 +13,7 @@
 	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
+	"sequoiasill.dev/sequoiasill/decide/throttler"
 )
 
 // job is a call on its way.
@@ -32,6 +33,7 @@
 	arrivals int // upstreams that the call reached
 	runs     int // of these, those that may have run it
 	refusals int
+	denials  int    // by the limits of upstreams
 	counted  bool   // in the usage
 	begun    bool   // the caller got the head of a stream
 	after    string // the last event that the caller got
@@ -156,12 +158,12 @@
 func (d *Dispatcher) run(ctx context.Context, j *job) {
 	defer d.returnRepeat(j)
 	for {
-		choice, send, ok := d.place(j)
+		p, ok := d.place(ctx, j)
 		if !ok {
-			d.finish(ctx, j, "no upstream left")
+			d.finish(ctx, j, noUpstream(j))
 			return
 		}
-		n, reason := d.attempt(ctx, j, choice, send)
+		n, reason := d.attempt(ctx, j, p)
 		switch {
 		case n == done:
 			return
@@ -197,25 +199,76 @@
 	return old
 }
 
-// place chooses an upstream and counts the call there.
-func (d *Dispatcher) place(j *job) (assigner.Choice, *rationer.Send, bool) {
+// noUpstream says why no upstream may have a call.
+func noUpstream(j *job) string {
+	if j.denials > 0 {
+		return "upstreams limit their calls"
+	}
+	return "no upstream left"
+}
+
+// placement is the upstream that gets a call.
+type placement struct {
+	choice assigner.Choice
+	permit *throttler.Permit // nil where the upstream limits no calls
+	send   *rationer.Send
+}
+
+// place chooses an upstream, with a permit where it limits its calls, and counts the call
+// there.
+func (d *Dispatcher) place(ctx context.Context, j *job) (placement, bool) {
+	for ctx.Err() == nil {
+		p, ok := d.choose(j)
+		if !ok || p.send != nil {
+			return p, ok
+		}
+		if p.permit, ok = d.permit(ctx, j, p.choice.Replica); ok {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			p.send = d.begin(j, p.choice)
+			return p, true
+		}
+	}
+	return placement{}, false
+}
+
+// choose chooses an upstream that has not had the call, and counts the call there unless
+// it needs a permit.
+func (d *Dispatcher) choose(j *job) (placement, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	choice, ok := d.choose(now, j)
-	if !ok {
-		return choice, nil, false
+	candidates := d.ofVersion(j, d.registrar.Candidates(now, j.service))
+	if j.denials >= d.opts.Denials {
+		candidates = unlimited(candidates)
 	}
+	choice, ok := d.assign(j, candidates)
+	if !ok || choice.Limited {
+		return placement{choice: choice}, ok
+	}
+	return placement{choice: choice, send: d.begin(j, choice)}, true
+}
+
+// begin counts a call at the upstream that it goes to. The caller holds the lock.
+func (d *Dispatcher) begin(j *job, choice assigner.Choice) *rationer.Send {
+	now := d.clock.Now()
 	d.registrar.Sent(choice.Replica.Name, choice.Prefill)
 	d.addWork(now, j, choice)
-	return choice, d.rationer.Sent(now, j.ration, choice.Replica.Name), true
+	return d.rationer.Sent(now, j.ration, choice.Replica.Name)
 }
 
-// choose chooses an upstream that has not had the call. The caller holds the lock.
-func (d *Dispatcher) choose(now sequoiasill.Millis, j *job) (assigner.Choice, bool) {
+// assign weighs candidates. The caller holds the lock.
+func (d *Dispatcher) assign(j *job, candidates []registrar.Candidate) (assigner.Choice, bool) {
 	return d.assigner.Choose(assigner.Request{
 		Zone: d.opts.Zone, Engine: j.engine, Prompt: j.call.Prompt, Tried: j.tried,
-	}, d.ofVersion(j, d.registrar.Candidates(now, j.service)))
+	}, candidates)
+}
+
+// isAnother reports whether there is an upstream that has not had the call and needs no
+// permit. The caller holds the lock.
+func (d *Dispatcher) isAnother(now sequoiasill.Millis, j *job) bool {
+	_, ok := d.assign(j, unlimited(d.ofVersion(j, d.registrar.Candidates(now, j.service))))
+	return ok
 }
 
 // returnRepeat gives back a repeat that was taken and not sent.
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -19,7 +19,9 @@
 	"sequoiasill.dev/sequoiasill/decide/allotter"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/gossiper"
+	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/decide/tallier"
+	"sequoiasill.dev/sequoiasill/decide/throttler"
 	"sequoiasill.dev/sequoiasill/entry/messenger"
 )
 
@@ -110,6 +112,9 @@
 	Charges() []blamer.Charge
 	Charged(entry string, charges []blamer.Charge) map[blamer.Fingerprint]sequoiasill.Millis
 	Refuse(f blamer.Fingerprint, until sequoiasill.Millis)
+	KnownLimit(u throttler.Upstream) registrar.KnownLimit
+	LimitHeard(u throttler.Upstream, perSecond float64, source string)
+	LimitLifted(u throttler.Upstream, source string)
 }
 
 // Moves take in facts that concern version moves.
@@ -147,6 +152,8 @@
 	origin   Origin
 	moves    Moves
 	clock    sequoiasill.Clock
+	boot     sequoiasill.Clock // counts on while the instance is suspended
+	limits   *limits
 	log      hclog.Logger
 	gossip   *messenger.Messenger
 	server   *http.Server
@@ -184,11 +191,13 @@
 	parts  map[string]float64 // of the tokens of all, while the entry was not lost
 }
 
-// New shares facts over conn and l until Close.
-func New(opts Options, conn net.PacketConn, l net.Listener, t *tallier.Tallier, h Handlers, clock sequoiasill.Clock, seed uint64, log hclog.Logger) *Exchanger {
+// New shares facts over conn and l until Close. Boot counts on while the instance is
+// suspended.
+func New(opts Options, conn net.PacketConn, l net.Listener, t *tallier.Tallier, h Handlers, clock, boot sequoiasill.Clock, seed uint64, log hclog.Logger) *Exchanger {
 	e := &Exchanger{
 		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, clock: clock, log: log.Named("exchanger"),
 		client: &http.Client{Timeout: pullTimeout}, wake: make(chan struct{}, 1), stop: make(chan struct{}),
+		boot: boot, limits: newLimits(opts.Name, opts.Name+"/"+opts.Session, boot.Now(), seed),
 		tallier: t, demands: make(map[string]told), sums: make(map[string]told), spent: make(map[string]float64),
 	}
 	self := gossiper.Member{
@@ -248,6 +257,8 @@
 	defer tick.Stop()
 	pull := time.NewTicker(pullEvery)
 	defer pull.Stop()
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
 	for {
 		select {
 		case <-e.stop:
@@ -260,6 +271,8 @@
 			e.pull()
 		case <-pull.C:
 			e.pull()
+		case <-look.C:
+			e.lookAtLimits()
 		}
 	}
 }
--- a/relay/exchanger/news.go
+++ b/relay/exchanger/news.go
@@ -32,6 +32,7 @@
 		return
 	}
 	e.gossip.Publish(keyReplica+r.Name, r.Revision, b, true, replicaSpan)
+	e.recallLimit(r.Name)
 }
 
 // Removed spreads that an upstream's entry was removed at a revision.
@@ -77,6 +78,16 @@
 		e.learnCulprit(strings.TrimPrefix(f.Key, keyCulprit), f)
 	case strings.HasPrefix(f.Key, keyDemand):
 		e.learnDemand(strings.TrimPrefix(f.Key, keyDemand), f)
+	case strings.HasPrefix(f.Key, keyLimit):
+		e.learnLimit(strings.TrimPrefix(f.Key, keyLimit), f)
+	case strings.HasPrefix(f.Key, keyAsk):
+		e.learnAsk(strings.TrimPrefix(f.Key, keyAsk), f)
+	case strings.HasPrefix(f.Key, keyDecision):
+		e.learnDecision(strings.TrimPrefix(f.Key, keyDecision), f)
+	case strings.HasPrefix(f.Key, keyUse):
+		e.learnUse(f)
+	case strings.HasPrefix(f.Key, keyCensus):
+		e.learnCensus(f)
 	case f.Key != keyHolder && !strings.HasPrefix(f.Key, keyAway):
 		e.moves.Learn(f)
 	}
@@ -106,6 +117,7 @@
 		return
 	}
 	e.replicas.Announce(r, "gossip")
+	e.recallLimit(name)
 }
 
 func (e *Exchanger) learnState(entry string, f gossiper.Fact) {
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -59,6 +59,19 @@
 	m.count(fmt.Sprintf(`sequoia_upstreams_told_total{what=%q,source=%q}`, what, source))
 }
 
+// Permitted counts an answer of the keeper of an upstream's limit: a call is granted, or
+// denied, or the limit is over.
+func (m *Meter) Permitted(granted, free bool) {
+	end := "denied"
+	switch {
+	case granted:
+		end = "granted"
+	case free:
+		end = "free"
+	}
+	m.count(fmt.Sprintf(`sequoia_limit_permits_total{end=%q}`, end))
+}
+
 // StoreCalled counts a call to the platform by what it asks and how it ended.
 func (m *Meter) StoreCalled(op, end string) {
 	m.count(fmt.Sprintf(`sequoia_platform_calls_total{op=%q,end=%q}`, op, end))
