Find a version that is several times slower by few requests

Cause: a version was judged by a test for twice as many slow requests, which takes some twenty slow ones at a small share; each entry knew which requests are slow only after 20 requests on a route since the move began (13 s for the rarer one); evidence was told and judged once a second, so up to 2 s went by at the last stage.

Change: a second test for six times as many slow requests; latencies are kept before a move as well (at one digit, 21 KB a route, dropped with its traffic); looks each half second; a quarter of the calls for 2.6 s of an order of 15 s, where slowness under load shows, and 5 instead of 3 in 100 before.

--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -35,7 +35,7 @@
 const candidates = 3
 
 // lookEvery is the interval at which moves are looked at.
-const lookEvery = time.Second
+const lookEvery = 500 * time.Millisecond
 
 // Controller runs moves until Close.
 type Controller struct {
--- a/decide/detector/detector.go
+++ b/decide/detector/detector.go
@@ -36,11 +36,19 @@
 	ErrorStep  float64
 	SlowRatio  float64
 	SlowStep   float64
+	// MuchSlower* are the same for a version that is several times slower, which fewer
+	// requests show.
+	MuchSlowerRatio     float64
+	MuchSlowerStep      float64
+	MuchSlowerThreshold float64
 }
 
 // DefaultOptions returns the options that moves use.
 func DefaultOptions() Options {
-	return Options{Threshold: 14, ErrorRatio: 3, ErrorStep: 0.004, SlowRatio: 2, SlowStep: 0.02}
+	return Options{
+		Threshold: 14, ErrorRatio: 3, ErrorStep: 0.004, SlowRatio: 2, SlowStep: 0.02,
+		MuchSlowerRatio: 6, MuchSlowerStep: 0.15, MuchSlowerThreshold: 10,
+	}
 }
 
 // Sign is what a detector found.
@@ -58,6 +66,7 @@
 	opts   Options
 	errors series
 	slow   series
+	much   series
 	seen   int
 }
 
@@ -67,6 +76,7 @@
 		opts:   opts,
 		errors: series{ratio: opts.ErrorRatio, step: opts.ErrorStep, threshold: opts.Threshold},
 		slow:   series{ratio: opts.SlowRatio, step: opts.SlowStep, threshold: opts.Threshold},
+		much:   series{ratio: opts.MuchSlowerRatio, step: opts.MuchSlowerStep, threshold: opts.MuchSlowerThreshold},
 	}
 }
 
@@ -76,10 +86,11 @@
 	d.seen += next.Requests
 	errs := d.errors.observe(old.Requests, old.Errors, next.Requests, next.Errors)
 	slow := d.slow.observe(old.Requests-old.Errors, old.Slow, next.Requests-next.Errors, next.Slow)
+	much := d.much.observe(old.Requests-old.Errors, old.Slow, next.Requests-next.Errors, next.Slow)
 	switch {
 	case errs:
 		return Errors
-	case slow:
+	case slow || much:
 		return Slow
 	}
 	return Clear
--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -45,8 +45,9 @@
 	moves    []sequoiasill.Move
 	current  uint64 // generation
 	statuses map[string]sequoiasill.MoveStatus
-	brakes   map[string]string // reasons by move
-	trials   map[string]*trial // by move
+	brakes   map[string]string     // reasons by move
+	trials   map[string]*trial     // by move
+	paces    map[string]*latencies // by service
 	evidence map[string]map[string]map[string]mover.Sample
 }
 
@@ -55,7 +56,7 @@
 	return &Shifter{
 		entry: entry, clock: clock, publisher: p, log: log.Named("shifter"),
 		statuses: make(map[string]sequoiasill.MoveStatus), brakes: make(map[string]string),
-		trials: make(map[string]*trial), evidence: make(map[string]map[string]map[string]mover.Sample),
+		trials: make(map[string]*trial), paces: make(map[string]*latencies), evidence: make(map[string]map[string]map[string]mover.Sample),
 	}
 }
 
@@ -129,6 +130,12 @@
 func (s *Shifter) Record(service, route, version string, failed bool, micros int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	pace, ok := s.paces[service]
+	if !ok {
+		pace = newLatencies()
+		s.paces[service] = pace
+	}
+	slow, isNew := pace.slow(route, micros), false
 	for _, m := range s.moves {
 		if m.Service != service || version != m.To && version != m.From && m.From != "" {
 			continue
@@ -138,7 +145,14 @@
 			t = newTrial()
 			s.trials[m.Name] = t
 		}
-		t.record(route, version == m.To, failed, micros)
+		isNew = version == m.To && s.statuses[m.Name].End != sequoiasill.MoveDone
+		t.record(route, version == m.To, failed, slow)
+	}
+	if failed || isNew {
+		return
+	}
+	if err := pace.remember(route, micros); err != nil {
+		s.log.Debug("latency not kept", "service", service, "route", route, "micros", micros, "error", err)
 	}
 }
 
@@ -153,6 +167,9 @@
 	var out []outgoing
 	s.mu.Lock()
 	now := s.clock.Now()
+	for _, pace := range s.paces {
+		pace.refresh()
+	}
 	for _, m := range s.moves {
 		t, ok := s.trials[m.Name]
 		if !ok || s.statuses[m.Name].End != sequoiasill.MoveOpen {
--- a/relay/roller/roller.go
+++ b/relay/roller/roller.go
@@ -24,7 +24,7 @@
 
 const (
 	// lookEvery is the interval at which evidence on moves is judged and told.
-	lookEvery = time.Second
+	lookEvery = 500 * time.Millisecond
 	// recordPatience is how long an entry waits for each one before it among the
 	// collectors to record how a move stands.
 	recordPatience = 2 * sequoiasill.Second
@@ -33,13 +33,14 @@
 )
 
 // DefaultOptions returns the options of moves on orders. A bad version may get a tenth
-// of the calls up to the deadline, so the shares before the last stage add up to 5 in
-// 100 of them. Services may have little traffic, and a route that is hardly used must
-// not end a move. At the end most calls have left the old version, whose upstreams are
-// stopped then without a drain.
+// of the calls up to the deadline, so the shares before the last stage add up to 9 in
+// 100 of them, most of it where badness that shows under load is seen within a second.
+// Services may have little traffic, and a route that is hardly used must not end a move. At
+// the end most calls have left the old version, whose upstreams are stopped then without a
+// drain.
 func DefaultOptions() mover.Options {
 	o := mover.DefaultOptions()
-	o.Stages = []mover.Stage{{From: 0, Share: 0}, {From: 20, Share: 30}, {From: 550, Share: 80}, {From: 700, Share: 300}, {From: 780, Share: 950}, {From: 870, Share: 980}}
+	o.Stages = []mover.Stage{{From: 0, Share: 0}, {From: 20, Share: 50}, {From: 450, Share: 100}, {From: 600, Share: 250}, {From: 800, Share: 950}, {From: 880, Share: 980}}
 	o.EndAt = 960
 	o.MinRequests, o.MinPerRoute = 40, 0
 	return o
