Tell of a stream's latency at its first event

Cause: a stream was told to those who judge versions when it ended, up to 10 s after its first event, on which it is judged, so the streams of a slow version counted last. It is told at its first event now, and again if it breaks off.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -120,11 +120,8 @@
 	t.prefill = 0
 	took := t.d.clock.Now() - t.began
 	t.d.meter.Attempted(what, took)
-	if o == registrar.Good || o == registrar.Failed {
-		if t.first > 0 {
-			took = t.first
-		}
-		t.d.moves.Record(t.service, t.route.Name, t.choice.Replica.Version, o == registrar.Failed, took)
+	if o == registrar.Failed || o == registrar.Good && t.first == 0 {
+		t.record(o == registrar.Failed, took)
 	}
 	if !t.d.log.IsInfo() {
 		return
@@ -139,6 +136,12 @@
 	}, args...)...)
 }
 
+// record tells those who judge versions how the attempt went. A stream is told at its first
+// event, and again if it breaks off.
+func (t *try) record(failed bool, took sequoiasill.Millis) {
+	t.d.moves.Record(t.service, t.route.Name, t.choice.Replica.Version, failed, took)
+}
+
 // conclude charges the call, counts the attempt off and says whether the call may go on.
 func (t *try) conclude(e appraiser.End, what, reason string, args ...any) (next, string) {
 	a := appraiser.Appraise(e)
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -99,7 +99,7 @@
 	// It is empty where the service does not move.
 	Target(service, call string) (version string, to bool)
 	// Record takes in how a call at an upstream went, with the time to its answer or
-	// its first event.
+	// its first event. A stream that breaks off is told twice.
 	Record(service, route, version string, failed bool, took sequoiasill.Millis)
 }
 
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -100,7 +100,8 @@
 func (f *forward) deliver(b []byte) error {
 	if f.events == 0 {
 		f.timer.stop()
-		f.first = f.d.clock.Now() - f.began
+		f.first = max(f.d.clock.Now()-f.began, 1)
+		f.record(false, f.first)
 		f.count()
 		f.d.meter.Began(f.d.clock.Now() - f.call.Arrived)
 		f.d.Registrar(func(r *registrar.Registrar) { r.Began(f.choice.Replica.Name, f.prefill) })
--- a/relay/dispatcher/versions_test.go
+++ b/relay/dispatcher/versions_test.go
@@ -57,3 +57,44 @@
 		})
 	}
 }
+
+// A stream counts for its version from its first event on, not only when it ends, which may
+// be seconds later.
+func TestStreamCountsForItsVersionAtItsFirstEvent(t *testing.T) {
+	const event = "id: 1\ndata: a\n\n"
+	tests := map[string]struct {
+		step    step
+		records []string // at the first event, and at the end
+	}{
+		"a whole one":        {step{status: 200, events: true, body: event}, []string{"plain long  failed false"}},
+		"one that broke off": {step{status: 200, events: true, body: event, broken: true}, []string{"plain long  failed false", "plain long  failed true"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, u := &courier{steps: []step{tc.step}}, &usage{began: make(map[string]int)}
+			got := &firstWrite{note: func() int { return len(u.records) }}
+			newDispatcher(t, c, u).Serve(context.Background(), call("/long/x", "key"), got)
+			if diff := cmp.Diff([]int{1, len(tc.records)}, []int{got.atFirst, len(u.records)}); diff != "" {
+				t.Errorf("records at the first event and at the end (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tc.records, u.records); diff != "" {
+				t.Errorf("records (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// firstWrite notes a number when the first event comes to the caller.
+type firstWrite struct {
+	reply
+
+	note    func() int
+	atFirst int
+}
+
+func (f *firstWrite) Write(b []byte) error {
+	if f.atFirst == 0 {
+		f.atFirst = f.note()
+	}
+	return f.reply.Write(b)
+}
