Record the end of a move before its deadline

Cause: a move ended at 96 in 100 of its time, and the look and the record came after that. The end is decided for a deadline that leaves 2 s, or a sixth of a short order's time. Shown by TestEndOfAMoveIsRecordedBeforeItsDeadline, which failed before for 10 s and 15 s.

--- a/relay/roller/orders.go
+++ b/relay/roller/orders.go
@@ -22,7 +22,8 @@
 
 // move returns the order as a move of the product.
 func (o order) move() sequoiasill.Move {
-	return sequoiasill.Move{Name: o.Service + "-" + o.Target, Service: o.Service, To: o.Target, Start: o.began, Deadline: o.began + max(o.Duration, 1)}
+	span := o.Duration - min(endSpan, o.Duration/shortOrder)
+	return sequoiasill.Move{Name: o.Service + "-" + o.Target, Service: o.Service, To: o.Target, Start: o.began, Deadline: o.began + max(span, 1)}
 }
 
 // Take takes in an order as it stands in the store and tells the other entries.
--- a/relay/roller/roller.go
+++ b/relay/roller/roller.go
@@ -28,6 +28,10 @@
 	// recordPatience is how long an entry waits for each one before it among the
 	// collectors to record how a move stands.
 	recordPatience = 2 * sequoiasill.Second
+	// endSpan is kept before the deadline of an order for its end to be decided and
+	// recorded, at most a part of shortOrder of the order's time.
+	endSpan    = 2 * sequoiasill.Second
+	shortOrder = 6
 	// statusSpan is how long the status of a move stays in the gossip.
 	statusSpan = sequoiasill.Hour
 )
--- a/relay/roller/roller_test.go
+++ b/relay/roller/roller_test.go
@@ -10,6 +10,22 @@
 	"sequoiasill.dev/sequoiasill/entry/shifter"
 )
 
+// The end of a move stands in the order before its deadline: it is decided at the look after
+// its time has come, and recorded at the look after that, or a little later.
+func TestEndOfAMoveIsRecordedBeforeItsDeadline(t *testing.T) {
+	const recording = 500 * sequoiasill.Millis(1)
+	looks := 2 * sequoiasill.MillisOf(lookEvery)
+	for name, span := range map[string]sequoiasill.Millis{"of 10 s": 10_000, "of 15 s": 15_000, "of a minute": 60_000} {
+		t.Run(name, func(t *testing.T) {
+			m := order{Rollout: sequoiasill.Rollout{Service: "s", Target: "v2", Duration: span}}.move()
+			end := m.Start + (m.Deadline-m.Start)*sequoiasill.Millis(DefaultOptions().EndAt)/1000
+			if recorded := end + looks + recording; recorded > span {
+				t.Errorf("the end is recorded after %s of %s", recorded, span)
+			}
+		})
+	}
+}
+
 // Upstreams of the version that a service has moved from carry nothing any longer.
 func TestSupersededUpstreams(t *testing.T) {
 	old := sequoiasill.Replica{Service: "s", Version: "v1", Born: 500}
