Bound the heads of upstreams' answers, and close idle connections with bytes

A test of our own: an entry held a head line without end in memory until the call's time limit, up to 2.2 GB in 5 s (an entry has 184 MB), and read interim answers without end; an idle connection on which bytes kept coming stayed open until it was needed or expired, with what the system buffers of it.

Cause: the parser holds a line until its end and counts no heads; idle connections were looked at only when taken.

Shown by TestHeadWithoutEndIsGivenUp (eight kinds, all failed before) and TestIdleConnectionWithBytesIsClosed (failed before).

--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -33,6 +33,8 @@
 	SilentSpan  sequoiasill.Millis
 	SilentProbe sequoiasill.Millis
 	MaxIdle     int // connections kept for one upstream
+	// HeadBytes bounds the heads of an answer, interim ones included.
+	HeadBytes int
 	// Reset ends exchanges that are broken off by a reset, so that nothing of them which
 	// is still on its way comes later.
 	Reset bool
@@ -42,7 +44,7 @@
 func DefaultOptions() Options {
 	return Options{
 		DialTimeout: 500, IdleSpan: 3 * sequoiasill.Second, IdlePart: 50,
-		SilentSpan: 1500, SilentProbe: sequoiasill.Second, MaxIdle: 16,
+		SilentSpan: 1500, SilentProbe: sequoiasill.Second, MaxIdle: 16, HeadBytes: 64 << 10,
 	}
 }
 
@@ -80,7 +82,8 @@
 // conn is a connection to an upstream.
 type conn struct {
 	net     net.Conn
-	reader  *bufio.Reader
+	bounded *boundedReader
+	reader  *bufio.Reader // of bounded
 	idleAt  sequoiasill.Millis
 	expires sequoiasill.Millis
 }
@@ -155,6 +158,8 @@
 	}
 }
 
+// sweep closes idle connections whose time is over, that were closed, or on which bytes came
+// that belong to no request.
 func (c *Connector) sweep() {
 	now := c.clock.Now()
 	var expired []*conn
@@ -162,7 +167,7 @@
 	for key, list := range c.idle {
 		kept := list[:0]
 		for _, k := range list {
-			if k.expires <= now {
+			if k.expires <= now || !quiet(k.net) {
 				expired = append(expired, k)
 				continue
 			}
@@ -319,11 +324,14 @@
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
-	return &conn{net: n, reader: bufio.NewReaderSize(n, readBuffer)}, false, nil
+	bounded := &boundedReader{from: n}
+	return &conn{net: n, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBuffer)}, false, nil
 }
 
 // readHead reads up to the final head of an answer.
 func (x *Exchange) readHead(method string) error {
+	x.conn.bounded.bound(x.connector.opts.HeadBytes)
+	defer x.conn.bounded.unbound()
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
 		if err != nil {
