Bound the answers that are held at a time, and look only once at what is pending of a stream

The same matter in bodies: each answer was bounded to 4 MB, but 60 calls at a time to an upstream that sends without end held 190 MB; the body of a refusal was cut at 64 KB and its connection kept, on which the rest kept coming; a stream without an event's end was searched anew at each read, which took 7 s for 1 MB under the race detector.

Answers beyond 64 KB share 24 MB now, a refusal with a long body closes its connection, and only what is new of a stream is searched.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 
@@ -193,9 +192,7 @@
 	case a.Refused || a.Elsewhere:
 		timer.stop()
 		t.refusals++
-		// The body of a refusal is short; the connection can serve on after it.
-		_, err := io.Copy(io.Discard, io.LimitReader(a.Body, maxRefusalBytes))
-		a.Close(err == nil)
+		a.Close(readRefusal(a.Body))
 		e := appraiser.End{Kind: appraiser.Refused, Pause: a.Pause}
 		return t.conclude(e, "refused by upstream", "upstreams are full", "status", a.Status, "pause", a.Pause)
 	case a.Events && a.Status == http.StatusOK:
@@ -221,10 +218,8 @@
 func (t *try) whole(ctx context.Context, a *Answer, timer *giveUpTimer) (next, string) {
 	t.runs++
 	t.count()
-	body, err := io.ReadAll(io.LimitReader(a.Body, int64(t.d.opts.AnswerBytes)+1))
-	if err == nil && len(body) > t.d.opts.AnswerBytes {
-		err = errors.Errorf("answer is longer than %d bytes", t.d.opts.AnswerBytes)
-	}
+	body, free, err := t.d.readBody(a.Body)
+	defer free()
 	timer.stop()
 	a.Close(err == nil)
 	e := appraiser.End{Kind: appraiser.Foreign, CallerLeft: callerLeft(ctx), Pause: a.Pause}
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -123,6 +123,10 @@
 	Zone string
 	// AnswerBytes bounds an answer that is not a stream of events.
 	AnswerBytes int
+	// BufferBytes bounds such answers of all calls at a time together, but for the first
+	// SmallAnswer bytes of each.
+	BufferBytes int
+	SmallAnswer int
 	// Refusals is how many upstreams may refuse a call before it is given up.
 	Refusals int
 	// Denials is how many upstreams that limit their calls may deny a call until it goes to
@@ -141,7 +145,7 @@
 
 // DefaultOptions returns the options that entries use.
 func DefaultOptions() Options {
-	return Options{AnswerBytes: 4 << 20, Refusals: 4, Denials: 3, GiveUpPart: 150, RetryAfter: 250, StreamSpan: 4 * sequoiasill.Second}
+	return Options{AnswerBytes: 4 << 20, BufferBytes: 24 << 20, SmallAnswer: 64 << 10, Refusals: 4, Denials: 3, GiveUpPart: 150, RetryAfter: 250, StreamSpan: 4 * sequoiasill.Second}
 }
 
 // Decisions are the state machines that a dispatcher drives.
@@ -155,16 +159,17 @@
 
 // Dispatcher serves calls. It is safe for concurrent use.
 type Dispatcher struct {
-	opts    Options
-	courier Courier
-	peers   Peers
-	moves   Versions
-	meter   Meter
-	clock   sequoiasill.Clock
-	log     hclog.Logger
-	traffic atomic.Pointer[sequoiasill.Traffic]
-	active  atomic.Int64
-	end     atomic.Int64 // when the entry ends, 0 while it stays
+	opts     Options
+	courier  Courier
+	peers    Peers
+	moves    Versions
+	meter    Meter
+	clock    sequoiasill.Clock
+	log      hclog.Logger
+	traffic  atomic.Pointer[sequoiasill.Traffic]
+	active   atomic.Int64
+	buffered atomic.Int64 // bytes of answers that are held
+	end      atomic.Int64 // when the entry ends, 0 while it stays
 
 	mu        sync.Mutex // guards what follows
 	registrar *registrar.Registrar
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -65,8 +65,11 @@
 	buf := make([]byte, readSize)
 	for {
 		n, err := f.answer.Body.Read(buf)
+		// What was pending holds no end, but perhaps the begin of one.
+		seen := max(len(pending)-longestEventEnd+1, 0)
 		pending = append(pending, buf[:n]...)
-		if end := lastEventEnd(pending); end > 0 {
+		if end := lastEventEnd(pending[seen:]); end > 0 {
+			end += seen
 			if werr := f.deliver(pending[:end]); werr != nil {
 				f.gone = true
 				return werr
@@ -126,6 +129,9 @@
 	return nil
 }
 
+// longestEventEnd is the length of the longest end of an event.
+const longestEventEnd = len("\r\n\r\n")
+
 // lastEventEnd returns the length of the whole events at the start of b. An event
 // ends with an empty line (WHATWG HTML, server-sent events).
 func lastEventEnd(b []byte) int {
