Log the shared parts of prompts and the crashes that are charged

The logs could not separate the hypotheses of docs/incidents/deadly-part.md: neither charges nor parts were logged. 'attempt' has the parts, 'crash charged' names request, upstream, fingerprint and parts; a counter counts charges.

--- a/call.go
+++ b/call.go
@@ -1,6 +1,10 @@
 package sequoiasill
 
-import "net/http"
+import (
+	"net/http"
+	"strconv"
+	"strings"
+)
 
 // Call is an HTTP request as received from a caller. The body and most header
 // fields are passed through unparsed.
@@ -60,3 +64,12 @@
 	}
 	return p.Parts[:len(p.Parts)-1]
 }
+
+// SharedPartIDs returns the IDs of the shared parts in hexadecimal, separated by commas.
+func (p Prompt) SharedPartIDs() string {
+	var ids []string
+	for _, part := range p.SharedParts() {
+		ids = append(ids, strconv.FormatUint(part.ID, 16))
+	}
+	return strings.Join(ids, ",")
+}
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -134,6 +134,9 @@
 	if t.limit.Limited {
 		args = append(args, "limit", t.limit.PerSecond)
 	}
+	if parts := t.call.Prompt.SharedPartIDs(); parts != "" {
+		args = append(args, "parts", parts)
+	}
 	t.d.log.Info("attempt", append([]any{
 		"request", t.call.ID, "route", t.route.Name, "config", t.trafficVersion, "upstream", t.choice.Replica.Name,
 		"zone", t.choice.Replica.Zone, "cost", int(t.choice.Cost), "prefill", t.choice.Prefill, "home", t.choice.Home, "candidates", t.choice.Candidates, "reportAge", t.choice.ReportAge,
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -123,6 +123,8 @@
 	UpstreamSignal(what, source string)
 	// PermitDecided counts the decisions on permits for calls to rate-limited upstreams.
 	PermitDecided(granted, lifted bool)
+	// CrashCharged counts a call that is charged with the crash of its upstream.
+	CrashCharged()
 }
 
 // Options configure a Dispatcher.
--- a/relay/dispatcher/quarantine.go
+++ b/relay/dispatcher/quarantine.go
@@ -50,6 +50,9 @@
 	quarantined := t.d.blamer.RecordCrash(now, t.fingerprint, incarnation)
 	until, _ := t.d.blamer.Refused(now, t.fingerprint)
 	t.d.mu.Unlock()
+	t.d.meter.CrashCharged()
+	t.d.log.Info("crash charged", "request", t.call.ID, "upstream", r.Name, "startedAt", r.StartedAt, "fingerprint", uint64(t.fingerprint),
+		"parts", t.call.Prompt.SharedPartIDs())
 	if !quarantined {
 		return
 	}
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -74,6 +74,9 @@
 	m.count(fmt.Sprintf(`sequoia_limit_permits_total{end=%q}`, end))
 }
 
+// CrashCharged counts a call that is charged with the crash of its upstream.
+func (m *Meter) CrashCharged() { m.count("sequoia_crashes_charged_total") }
+
 // CountCall counts a call to the platform by operation and outcome.
 func (m *Meter) CountCall(op, end string) {
 	m.count(fmt.Sprintf(`sequoia_platform_calls_total{op=%q,end=%q}`, op, end))
