--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -105,6 +105,13 @@
 		checker.addViolation("request not made: %v", err)
 		return
 	}
+	if k.service() == streamService {
+		prompt := newPrompt(id, rand.IntN(promptGroups), rand.IntN(1000), c.harness.currentDeadlyPart())
+		req.Header.Set(headerPrompt, prompt)
+		if deadlyPartOf(prompt) == "" {
+			defer checker.observeSound(id, c.harness.currentDeadlyPart)()
+		}
+	}
 	resp, err := conn.client.Do(req)
 	if err != nil {
 		checker.recordResult(id, 0, err)
--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -62,6 +62,7 @@
 	retries       *retryChecker
 	signals       *signalChecker
 	limits        *limitChecker
+	prompts       *promptChecker
 	recoveries    recoveries // of the entries' connections to the platform
 	violations    []string
 	revokedAt     map[string]time.Time    // time at which the store held a configuration without the API key
@@ -84,7 +85,7 @@
 
 func newChecker(retryLimits rationer.Limits) *checker {
 	return &checker{
-		calls: make(map[string]*callRecord), retries: newRetryChecker(retryLimits), signals: newSignalChecker(drainTimeout), limits: newLimitChecker(), recoveries: recoveries{entries: make(map[string][]sequoiasill.Millis)}, revokedAt: make(map[string]time.Time), drainingSince: make(map[string]time.Time), crashes: make(map[string]*crashRecord),
+		calls: make(map[string]*callRecord), retries: newRetryChecker(retryLimits), signals: newSignalChecker(drainTimeout), limits: newLimitChecker(), prompts: newPromptChecker(), recoveries: recoveries{entries: make(map[string][]sequoiasill.Millis)}, revokedAt: make(map[string]time.Time), drainingSince: make(map[string]time.Time), crashes: make(map[string]*crashRecord),
 		counts: Counts{Faults: make(map[string]int)},
 	}
 }
@@ -194,6 +195,7 @@
 	defer c.mu.Unlock()
 	c.signals.recordDisruption(nowMillis(), e.number)
 	c.limits.recordDisruption(nowMillis(), e.number)
+	c.prompts.recordDisruption(nowMillis(), e.number)
 	c.recoveries.entries[e.name()] = append(c.recoveries.entries[e.name()], nowMillis())
 }
 
@@ -313,6 +315,41 @@
 	}
 }
 
+// recordPartCrash records that a part of a prompt crashes an upstream.
+func (c *checker) recordPartCrash(part string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.prompts.recordCrash(nowMillis(), part)
+}
+
+// recordPartArrival records that a call with a part that crashes upstreams arrives at one.
+func (c *checker) recordPartArrival(id, part string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r, ok := c.calls[id]; ok {
+		c.prompts.recordArrival(nowMillis(), part, r.entry)
+	}
+}
+
+// observeSound starts the observation of a sound call. The returned function ends it. The call is
+// recorded only if no other fault affected it and the same part crashed upstreams all the while.
+func (c *checker) observeSound(id string, deadlyPart func() string) (end func()) {
+	part := deadlyPart()
+	return func() {
+		same := deadlyPart() == part
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		r := c.calls[id]
+		alone := c.undisturbedSince(r.sent)
+		if part != "" {
+			alone = c.activeFaults == 1 && c.lastFaultEnd.Add(faultEffectTime).Before(r.sent)
+		}
+		if same && alone {
+			c.prompts.recordSound(sequoiasill.Millis(r.sent.UnixMilli()), part, r.status == http.StatusOK)
+		}
+	}
+}
+
 func (c *checker) recordKeyRevocation(key string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -337,5 +374,5 @@
 	}
 	c.counts.Retries, c.counts.WorstWindows = c.retries.auditor.Repeats(), c.retries.auditor.WorstWindows(c.retries.limits)
 	c.counts.RateLimited, c.counts.MaxRateLimitUse = c.limits.checkedCalls, c.limits.maxUse
-	return slices.Concat(c.violations, c.retries.violations(), c.signals.violations, c.limits.violations), c.counts
+	return slices.Concat(c.violations, c.retries.violations(), c.signals.violations, c.limits.violations, c.prompts.results()), c.counts
 }
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -49,6 +49,7 @@
 		h.withRandomReplica(func(r *replica) { h.crashReplica(r, duration) })
 	}},
 	{"send a request that crashes replicas", false, (*Harness).sendCrashingRunOnce},
+	{deadlyPartFault, false, (*Harness).sendDeadlyPrompts},
 	{"reset a replica's connections", false, func(h *Harness, _ time.Duration) { h.withRandomReplica(func(r *replica) { r.proxy.reset() }) }},
 	{"delay a replica", false, func(h *Harness, duration time.Duration) { h.injectProxyFault(delayData, duration) }},
 	{"silence a replica", false, func(h *Harness, duration time.Duration) { h.injectProxyFault(blackhole, duration) }},
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -155,11 +155,13 @@
 }
 
 // eventCount returns the number of events in a call's stream, derived from its request ID.
-func eventCount(id string) int {
+func eventCount(id string) int { return 2 + int(hash(id)%20) }
+
+func hash(id string) uint32 {
 	h := fnv.New32a()
 	// Write of a hash never returns an error.
 	_, _ = h.Write([]byte(id))
-	return 2 + int(h.Sum32()%20)
+	return h.Sum32()
 }
 
 // heldUpTime is how long after a network fault calls may still arrive late because of it.
@@ -191,6 +193,10 @@
 		r.setSignal(w, OmitRateLimit, "Server-Limit", strconv.FormatFloat(perSecond(limit), 'f', -1, 64))
 	}
 	r.checker.recordDelivery(id, r.id, draining, limit > 0)
+	deadly := deadlyPartOf(req.Header.Get(headerPrompt))
+	if deadly != "" {
+		r.checker.recordPartArrival(id, deadly)
+	}
 	if r.inFlight.Add(1) > maxCallsInFlight || rand.Int64N(1000) < r.rejectsPer1000.Load() {
 		r.inFlight.Add(-1)
 		r.reject(w, req, id)
@@ -203,6 +209,9 @@
 		return
 	}
 	time.Sleep(rand.N(20*time.Millisecond) + time.Duration(r.extraLatencyMillis.Load())*time.Millisecond)
+	if deadly != "" {
+		r.crashUnderPart(deadly)
+	}
 	switch draw := rand.Int64N(1000); {
 	case draw < r.lossPer1000.Load():
 		panic(http.ErrAbortHandler)
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -74,6 +74,7 @@
 	configVersion   int
 	apiKeys         []string
 	lastNumber      int             // of API keys and of requests that crash replicas
+	deadlyPart      string          // ID of the part of prompts that crashes replicas; empty for none
 	ready           map[int]bool    // by entry number, at the last poll
 	inUse           map[string]bool // entries, keys and stores that a fault is using
 }
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -60,6 +60,15 @@
 	})
 }
 
+// A part of prompts that crashes upstreams must stop reaching them, and only calls with it.
+func TestPartThatCrashesUpstreamsIsQuarantined(t *testing.T) {
+	runSoak(t, soaker.Options{
+		Seed: 4, Duration: 14 * time.Second, OnlyFault: "send prompts with a part that crashes replicas", Binary: build(t),
+		Entries: 3, Replicas: 3, Engines: 6, Callers: 12, Rate: 150,
+		RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+	})
+}
+
 // Upstreams omit a signal from their responses, so the entries ignore it. The checker must report
 // them.
 func TestFindsEntriesThatIgnoreUpstreamSignals(t *testing.T) {
