Quarantine parts of prompts that crash upstreams

Cause: crashes were counted by request (organisation, path, body). Requests with the part have nothing else in common, so each had one charge and nothing was ever refused.

decide/partblamer counts crashes by the shared parts of prompts. Entries report crashes and services of suspected parts to the collectors. Calls are screened at admission, before each attempt and right before the send. One entry tests a quarantine now and then with one call; a response lifts it everywhere.

--- /dev/null
+++ b/decide/partblamer/collector.go
@@ -0,0 +1,207 @@
+package partblamer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"sequoiasill.dev/sequoiasill"
+)
+
+// Merge replaces the report of another entry.
+func (b *Blamer) Merge(entry string, r Report) {
+	if len(r.Crashes) == 0 && len(r.Served) == 0 {
+		delete(b.reports, entry)
+		return
+	}
+	b.reports[entry] = r
+}
+
+// Decide evaluates the reports of all entries on a collector. It quarantines the parts that are
+// found to crash upstreams, and announces changes of the suspects.
+func (b *Blamer) Decide(now sequoiasill.Millis) {
+	b.deleteExpired(now)
+	b.deleteExpiredReports(now)
+	served := b.lastServed()
+	for {
+		cases := b.cases(now, served)
+		b.updateSuspects(now, cases)
+		guilty := b.guiltiest(now, cases)
+		if guilty == nil {
+			return
+		}
+		q := &quarantine{signature: guilty.signature(served), since: now, until: now + b.opts.QuarantineDuration, nextProbe: now + b.opts.ProbeDelay}
+		b.quarantines[q.signature.String()] = q
+		b.changes = append(b.changes, q.change())
+	}
+}
+
+func (b *Blamer) deleteExpiredReports(now sequoiasill.Millis) {
+	for entry, r := range b.reports {
+		r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool { return now-c.At > b.opts.CrashLifetime })
+		maps.DeleteFunc(r.Served, func(_ Part, at sequoiasill.Millis) bool { return now-at > b.opts.CrashLifetime })
+		b.Merge(entry, r)
+	}
+}
+
+// lastServed returns when suspected parts were last served by any entry, as far as they reported
+// it.
+func (b *Blamer) lastServed() map[Part]sequoiasill.Millis {
+	out := make(map[Part]sequoiasill.Millis)
+	for _, r := range b.reports {
+		for p, at := range r.Served {
+			out[p] = max(out[p], at)
+		}
+	}
+	for _, c := range b.allCrashes() {
+		for _, p := range c.Parts {
+			if at, ok := b.served.last(p); ok {
+				out[p] = max(out[p], at)
+			}
+		}
+	}
+	return out
+}
+
+func (b *Blamer) allCrashes() []Crash {
+	out := slices.Clone(b.crashes)
+	for _, r := range b.reports {
+		out = append(out, r.Crashes...)
+	}
+	return out
+}
+
+// suspicion holds the unexplained crashes under a part since it was last served.
+type suspicion struct {
+	part     Part
+	servedAt sequoiasill.Millis // 0 if it never was
+	crashes  []Crash
+	// crashedAt holds the time of the crash by upstream.
+	crashedAt map[uint64]sequoiasill.Millis
+	requests  map[uint64]bool
+}
+
+// cases returns a suspicion for each part that took part in crashes. Crashes of upstreams that
+// also ran a quarantined signature are explained by it.
+func (b *Blamer) cases(now sequoiasill.Millis, served map[Part]sequoiasill.Millis) map[Part]*suspicion {
+	crashes := b.allCrashes()
+	explained := make(map[uint64]bool)
+	for _, c := range crashes {
+		for _, q := range b.quarantines {
+			if q.until > now && q.signature.matches(c.Parts) {
+				explained[c.Upstream] = true
+			}
+		}
+	}
+	out := make(map[Part]*suspicion)
+	for _, c := range crashes {
+		if explained[c.Upstream] {
+			continue
+		}
+		for _, p := range c.Parts {
+			if c.At <= served[p] {
+				continue
+			}
+			s := out[p]
+			if s == nil {
+				s = &suspicion{part: p, servedAt: served[p], crashedAt: make(map[uint64]sequoiasill.Millis), requests: make(map[uint64]bool)}
+				out[p] = s
+			}
+			s.add(c)
+		}
+	}
+	return out
+}
+
+func (s *suspicion) add(c Crash) {
+	s.crashes = append(s.crashes, c)
+	s.requests[c.Request] = true
+	if at, known := s.crashedAt[c.Upstream]; !known || c.At < at {
+		s.crashedAt[c.Upstream] = c.At
+	}
+}
+
+// outages returns the number of crashes, where those within a window of time count as one.
+func (s *suspicion) outages(window sequoiasill.Millis) int {
+	n, last := 0, sequoiasill.Millis(0)
+	for _, at := range slices.Sorted(maps.Values(s.crashedAt)) {
+		if n == 0 || at-last >= window {
+			n, last = n+1, at
+		}
+	}
+	return n
+}
+
+// signature returns the parts that all crashed calls with the part have in common and that were
+// never served or, if there are none, that were not served since the first of the crashes.
+func (s *suspicion) signature(served map[Part]sequoiasill.Millis) Signature {
+	common := slices.Clone(s.crashes[0].Parts)
+	first := s.crashes[0].At
+	for _, c := range s.crashes[1:] {
+		common = slices.DeleteFunc(common, func(p Part) bool { return !slices.Contains(c.Parts, p) })
+		first = min(first, c.At)
+	}
+	neverServed := slices.DeleteFunc(slices.Clone(common), func(p Part) bool { return served[p] > 0 })
+	if len(neverServed) > 0 {
+		return neverServed
+	}
+	return slices.DeleteFunc(common, func(p Part) bool { return served[p] >= first })
+}
+
+// updateSuspects updates the suspected parts and announces them to the other entries if they
+// changed.
+func (b *Blamer) updateSuspects(now sequoiasill.Millis, cases map[Part]*suspicion) {
+	for p := range b.suspectedSince {
+		if s := cases[p]; s == nil || len(s.crashedAt) < b.opts.SuspicionThreshold {
+			delete(b.suspectedSince, p)
+		}
+	}
+	for _, s := range sorted(cases) {
+		if _, known := b.suspectedSince[s.part]; known || len(s.crashedAt) < b.opts.SuspicionThreshold {
+			continue
+		}
+		if len(b.suspectedSince) >= b.opts.MaxSuspects {
+			break
+		}
+		b.suspectedSince[s.part] = now
+	}
+	current := slices.Sorted(maps.Keys(b.suspectedSince))
+	repeat := len(current) > 0 && now-b.announcedAt > b.opts.SuspectLifetime/2
+	if repeat || !slices.Equal(current, b.announced) {
+		b.announced, b.announcedAt = current, now
+		b.changes = append(b.changes, Change{Suspects: current})
+	}
+}
+
+// guiltiest returns the strongest suspicion that suffices for a quarantine, or nil.
+func (b *Blamer) guiltiest(now sequoiasill.Millis, cases map[Part]*suspicion) *suspicion {
+	for _, s := range sorted(cases) {
+		if b.suffices(now, s) {
+			return s
+		}
+	}
+	return nil
+}
+
+func (b *Blamer) suffices(now sequoiasill.Millis, s *suspicion) bool {
+	since, suspected := b.suspectedSince[s.part]
+	if !suspected || now-since < b.opts.ReplyTime || len(s.requests) < b.opts.MinRequests {
+		return false
+	}
+	if s.servedAt == 0 {
+		return s.outages(b.opts.OutageWindow) >= b.opts.CrashThreshold
+	}
+	return s.outages(b.opts.OutageWindow) >= b.opts.KnownCrashThreshold && now-s.servedAt >= b.opts.MinSilence
+}
+
+// sorted returns the suspicions in the order of their strength: parts that were never served
+// first, then by the number of upstreams. Among equals, the part that was in fewer calls is the
+// more likely cause of the crashes.
+func sorted(cases map[Part]*suspicion) []*suspicion {
+	return slices.SortedFunc(maps.Values(cases), func(a, b *suspicion) int {
+		return cmp.Or(
+			cmp.Compare(min(a.servedAt, 1), min(b.servedAt, 1)), cmp.Compare(len(b.crashedAt), len(a.crashedAt)),
+			cmp.Compare(len(a.crashes), len(b.crashes)), cmp.Compare(a.part, b.part),
+		)
+	})
+}
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -107,8 +107,13 @@
 }
 
 // maySend reports whether the upstream may still receive the call. It may have started to
-// drain, to pause or to limit its calls since it was chosen.
+// drain, to pause or to limit its calls since it was chosen, or a part of the call's prompt may
+// have been quarantined.
 func (t *try) maySend() bool {
+	if t.d.screen(t.job) != nil {
+		t.withheld = true
+		return false
+	}
 	t.d.mu.Lock()
 	defer t.d.mu.Unlock()
 	t.withheld = !t.d.registrar.MaySend(t.d.clock.Now(), t.choice.Replica, t.permit != nil)
@@ -168,7 +173,7 @@
 func (t *try) handleSendError(e classifier.End, err, cause error) (nextStep, string) {
 	switch e.Kind {
 	case classifier.Withheld:
-		return t.conclude(e, "withheld", "upstream leaves, rests or limits its calls")
+		return t.conclude(e, "withheld", "upstream leaves, rests or limits its calls, or the prompt is quarantined")
 	case classifier.NotSent:
 		return t.conclude(e, "not sent", "upstream cannot be reached", "error", err)
 	}
@@ -254,6 +259,7 @@
 		return t.conclude(e, "error of the upstream", "error of the upstream", "status", a.Status, "pause", a.Pause)
 	}
 	t.clearSuspicion()
+	t.d.screener.RecordServed(t.parts)
 	e.Kind = classifier.Succeeded
 	t.conclude(e, "answered", "", "status", a.Status, "bytes", len(body))
 	if err := t.reply.SendWhole(a.Status, a.Header, body); err != nil {
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 	"sequoiasill.dev/sequoiasill/decide/allotter"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
+	"sequoiasill.dev/sequoiasill/decide/partblamer"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/decide/throttler"
@@ -99,6 +100,18 @@
 	ReportOutcome(p throttler.Permit, e throttler.Outcome, l registrar.Limit)
 }
 
+// Screener keeps calls from upstreams that a part of their prompt would crash. It is not used for
+// calls without shared parts.
+type Screener interface {
+	// Screen decides whether a call with the given parts may be sent, with the delay before a
+	// retry if it may not.
+	Screen(parts []partblamer.Part) (d partblamer.Decision, retryAfter sequoiasill.Millis)
+	// RecordCrash records that an upstream crashed under a call before it began to respond.
+	RecordCrash(c partblamer.Crash)
+	// RecordServed records that an upstream began to respond to a call with the given parts.
+	RecordServed(parts []partblamer.Part)
+}
+
 // Moves assigns calls to the old or the new version of a service during a move.
 type Moves interface {
 	// Target returns the version that a service is being moved to, or was moved to by its last
@@ -172,6 +185,7 @@
 	transport     Transport
 	peers         Peers
 	moves         Moves
+	screener      Screener
 	meter         Meter
 	clock         sequoiasill.Clock
 	log           hclog.Logger
@@ -192,9 +206,9 @@
 
 // New returns a dispatcher without traffic rules, which refuses calls until SetTraffic
 // provides them.
-func New(opts Options, transport Transport, peers Peers, moves Moves, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
+func New(opts Options, transport Transport, peers Peers, moves Moves, screener Screener, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
 	return &Dispatcher{
-		opts: opts, transport: transport, peers: peers, moves: moves, meter: meter, clock: clock, log: log.Named("dispatcher"),
+		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, meter: meter, clock: clock, log: log.Named("dispatcher"),
 		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad),
 	}
 }
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -18,11 +18,13 @@
 	"sequoiasill.dev/sequoiasill/decide/allotter"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
+	"sequoiasill.dev/sequoiasill/decide/partblamer"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/decide/throttler"
 	"sequoiasill.dev/sequoiasill/relay/dispatcher"
 	"sequoiasill.dev/sequoiasill/relay/meter"
+	"sequoiasill.dev/sequoiasill/relay/screener"
 )
 
 // step scripts the result of one attempt.
@@ -244,7 +246,9 @@
 	for i := range 3 {
 		r.Announce(clock.Now(), sequoiasill.Replica{Name: fmt.Sprintf("r%d", i), Service: "plain", Address: "10.0.0.1:1", Slots: 4, Revision: 1})
 	}
-	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, u, meter.New(), dispatcher.StateMachines{
+	metrics := meter.New()
+	screen := screener.New(partblamer.New(partblamer.DefaultOptions()), clock, metrics, log)
+	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, u, screen, metrics, dispatcher.StateMachines{
 		Registrar: r, Assigner: assigner.New(assigner.DefaultOptions(), 1), Allotter: allotter.New(allotter.Limits{Window: 1000}, 1, true),
 		Rationer: budget, Blamer: blamer.New(blamer.DefaultOptions()),
 	}, clock, log)
--- a/relay/dispatcher/quarantine.go
+++ b/relay/dispatcher/quarantine.go
@@ -1,12 +1,14 @@
 package dispatcher
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
+	"sequoiasill.dev/sequoiasill/decide/partblamer"
 )
 
 // fingerprint identifies a call by its organisation, method, host, target and body. The
@@ -39,6 +41,33 @@
 		"upstreams crashed under this request").WithRetryAfter(until - now)
 }
 
+// screen returns a Failure if a part of the call's prompt is quarantined because it crashes
+// upstreams.
+func (d *Dispatcher) screen(j *job) *sequoiasill.Failure {
+	if len(j.parts) == 0 || j.testsPart {
+		return nil
+	}
+	decision, retryAfter := d.screener.Screen(j.parts)
+	if decision.Refused {
+		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeQuarantined, http.StatusServiceUnavailable,
+			"upstreams crashed under prompts with %s", decision.Signature).WithRetryAfter(retryAfter)
+	}
+	if j.testsPart = decision.Signature != nil; j.testsPart {
+		d.log.Info("testing quarantined parts", "request", j.call.ID, "parts", decision.Signature.String())
+	}
+	return nil
+}
+
+// finishQuarantined ends a call whose prompt was quarantined after it was admitted.
+func (d *Dispatcher) finishQuarantined(ctx context.Context, j *job, failure *sequoiasill.Failure) {
+	if j.runs > 0 || j.headerSent || ctx.Err() != nil {
+		d.finish(ctx, j, failure.Message)
+		return
+	}
+	d.refundQuota(j)
+	d.refuse(j.call, j.reply, failure)
+}
+
 // recordCrash records that the upstream may have crashed under the call: it closed the
 // connection, or stopped acknowledging data, before its response or the first event of its
 // stream. It quarantines the request if there were too many such cases.
@@ -53,6 +82,7 @@
 	t.d.meter.CrashCharged()
 	t.d.log.Info("crash charged", "request", t.call.ID, "upstream", r.Name, "startedAt", r.StartedAt, "fingerprint", uint64(t.fingerprint),
 		"parts", t.call.Prompt.SharedPartIDs())
+	t.d.screener.RecordCrash(partblamer.Crash{Request: uint64(t.fingerprint), Upstream: incarnation, Parts: t.parts})
 	if !quarantined {
 		return
 	}
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -11,6 +11,7 @@
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
+	"sequoiasill.dev/sequoiasill/decide/partblamer"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/decide/throttler"
@@ -27,6 +28,8 @@
 	reply          ResponseWriter
 	deadline       sequoiasill.Millis
 	fingerprint    blamer.Fingerprint
+	parts          []partblamer.Part // shared parts of the prompt
+	testsPart      bool              // the call tests whether its quarantined parts still crash upstreams
 	retryBudget    *rationer.Call
 
 	tried        map[string]bool
@@ -111,6 +114,10 @@
 	if failure := d.checkQuarantine(j); failure != nil {
 		return nil, failure
 	}
+	j.parts = partblamer.PartsOf(call.Prompt)
+	if failure := d.screen(j); failure != nil {
+		return nil, failure
+	}
 	if wait, ok := d.takeQuota(j); !ok {
 		return nil, sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeOverloaded, http.StatusTooManyRequests,
 			"allowance of %s is spent", j.account.Name).WithRetryAfter(wait)
@@ -163,6 +170,10 @@
 func (d *Dispatcher) run(ctx context.Context, j *job) {
 	defer d.returnRetry(j)
 	for {
+		if failure := d.screen(j); failure != nil {
+			d.finishQuarantined(ctx, j, failure)
+			return
+		}
 		p, ok := d.place(ctx, j)
 		if !ok {
 			d.finish(ctx, j, noUpstreamReason(j))
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -108,6 +108,9 @@
 		f.recordForMove(false, f.timeToFirstEvent)
 		f.countUsage()
 		f.d.meter.FirstEvent(f.d.clock.Now() - f.call.ArrivedAt)
+		if len(b) > 0 {
+			f.d.screener.RecordServed(f.parts)
+		}
 		f.d.WithRegistrar(func(r *registrar.Registrar) { r.FirstEvent(f.choice.Replica.Name, f.prefill) })
 		f.prefill = 0
 	}
--- /dev/null
+++ b/relay/exchanger/crashes.go
@@ -0,0 +1,208 @@
+package exchanger
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/gossiper"
+	"sequoiasill.dev/sequoiasill/decide/partblamer"
+	"sequoiasill.dev/sequoiasill/relay/screener"
+)
+
+// Key prefixes of facts about parts of prompts that crash upstreams.
+const (
+	keyCrashes  = "crashes/"  // + entry: its crash report, sent to collectors only
+	keySuspects = "suspects/" // + collector: the parts that it suspects
+	keyPart     = "part/"     // + signature: its quarantine, empty once it was lifted
+)
+
+// partTTL is how long facts about quarantined parts are gossiped. It exceeds the duration of a
+// quarantine.
+const partTTL = 20 * sequoiasill.Minute
+
+// Screener holds this entry's crashes under parts of prompts and the quarantined parts, and
+// receives those of other entries.
+type Screener interface {
+	// Changed receives a value when Exchange should be called.
+	Changed() <-chan struct{}
+	// Idle reports whether there is nothing to exchange.
+	Idle() bool
+	// Exchange returns what the other entries must be told. rank is the position of this entry
+	// among the collectors, or negative if it is not one.
+	Exchange(rank int) screener.Outgoing
+	Merge(entry string, r partblamer.Report)
+	SetSuspects(collector string, parts []partblamer.Part)
+	Quarantine(s partblamer.Signature, since, until sequoiasill.Millis)
+	Lift(s partblamer.Signature)
+}
+
+// wireCrashReport encodes a report. Times are sent as ages because the clocks of entries differ.
+type wireCrashReport struct {
+	Crashes []wireCrash      `cbor:"1,keyasint,omitempty"`
+	Served  map[uint64]int64 `cbor:"2,keyasint,omitempty"` // age in milliseconds by part
+}
+
+type wireCrash struct {
+	_         struct{} `cbor:",toarray"`
+	Request   uint64
+	Upstream  uint64
+	AgeMillis int64
+	Parts     []uint64
+}
+
+// wireQuarantine encodes the quarantine of a signature.
+type wireQuarantine struct {
+	Parts           []uint64 `cbor:"1,keyasint"`
+	Lifted          bool     `cbor:"2,keyasint,omitempty"`
+	AgeMillis       int64    `cbor:"3,keyasint,omitempty"`
+	RemainingMillis int64    `cbor:"4,keyasint,omitempty"`
+}
+
+// exchangeCrashes tells the collectors of crashes under calls of this entry, and all entries of
+// suspected and quarantined parts.
+func (e *Exchanger) exchangeCrashes() {
+	if e.screener.Idle() {
+		return
+	}
+	collectors := e.collectors()
+	out := e.screener.Exchange(slices.Index(collectors, e.opts.Name))
+	now := e.clock.Now()
+	if out.ReportDue {
+		if b, ok := encodeFact(e, toWireReport(out.Report, now)); ok {
+			e.gossip.SendDirect(collectors, keyCrashes+e.opts.Name, uint64(now), b)
+		}
+	}
+	for _, c := range out.Changes {
+		if c.Signature == nil {
+			e.publishNewer(keySuspects+e.opts.Name, fromParts(c.Suspects))
+			continue
+		}
+		e.publishNewer(keyPart+c.Signature.String(), wireQuarantine{
+			Parts: fromParts(c.Signature), Lifted: !c.Quarantined, AgeMillis: int64(now - c.Since), RemainingMillis: int64(c.Until - now),
+		})
+	}
+}
+
+// publishNewer publishes a value that supersedes the known fact with the same key, which another
+// entry, whose clock may be ahead, may have published.
+func (e *Exchanger) publishNewer(key string, value any) {
+	b, ok := encodeFact(e, value)
+	if !ok {
+		return
+	}
+	version := uint64(e.clock.Now())
+	if f, known := e.gossip.Fact(key); known {
+		version = max(version, f.Version+1)
+	}
+	e.gossip.Publish(key, version, b, true, partTTL)
+}
+
+// encodeFact encodes the value of a fact and logs a failure.
+func encodeFact(e *Exchanger, value any) ([]byte, bool) {
+	b, err := cbor.Marshal(value)
+	if err != nil {
+		e.log.Error("cannot encode fact", "error", errors.Trace(err))
+		return nil, false
+	}
+	return b, true
+}
+
+// handleCrashes merges the crash report of another entry.
+func (e *Exchanger) handleCrashes(entry string, f gossiper.Fact) {
+	if r, ok := decodeFact[wireCrashReport](e, f); ok {
+		e.screener.Merge(entry, fromWireReport(r, e.clock.Now()))
+	}
+}
+
+// handleSuspects handles the list of the parts that a collector suspects.
+func (e *Exchanger) handleSuspects(collector string, f gossiper.Fact) {
+	if parts, ok := decodeFact[[]uint64](e, f); ok {
+		e.screener.SetSuspects(collector, toParts(parts))
+	}
+}
+
+// handlePart handles a quarantine or its end.
+func (e *Exchanger) handlePart(f gossiper.Fact) {
+	w, ok := decodeFact[wireQuarantine](e, f)
+	if !ok {
+		return
+	}
+	signature := partblamer.Signature(toParts(w.Parts))
+	if w.Lifted {
+		e.screener.Lift(signature)
+		return
+	}
+	publishedAt := f.Expires - partTTL
+	e.screener.Quarantine(signature, publishedAt-sequoiasill.Millis(w.AgeMillis), publishedAt+sequoiasill.Millis(w.RemainingMillis))
+}
+
+// decodeFact decodes the value of a fact and logs a failure.
+func decodeFact[T any](e *Exchanger, f gossiper.Fact) (T, bool) {
+	var out T
+	if err := cbor.Unmarshal(f.Value, &out); err != nil {
+		e.log.Warn("fact cannot be read", "key", f.Key, "error", errors.Trace(err))
+		return out, false
+	}
+	return out, true
+}
+
+func toWireReport(r partblamer.Report, now sequoiasill.Millis) wireCrashReport {
+	w := wireCrashReport{Served: make(map[uint64]int64, len(r.Served))}
+	for _, c := range r.Crashes {
+		w.Crashes = append(w.Crashes, wireCrash{Request: c.Request, Upstream: c.Upstream, AgeMillis: int64(now - c.At), Parts: fromParts(c.Parts)})
+	}
+	for p, at := range r.Served {
+		w.Served[uint64(p)] = int64(now - at)
+	}
+	return w
+}
+
+func fromWireReport(w wireCrashReport, now sequoiasill.Millis) partblamer.Report {
+	r := partblamer.Report{Served: make(map[partblamer.Part]sequoiasill.Millis, len(w.Served))}
+	for _, c := range w.Crashes {
+		r.Crashes = append(r.Crashes, partblamer.Crash{Request: c.Request, Upstream: c.Upstream, At: now - sequoiasill.Millis(c.AgeMillis), Parts: toParts(c.Parts)})
+	}
+	for p, age := range w.Served {
+		r.Served[partblamer.Part(p)] = now - sequoiasill.Millis(age)
+	}
+	return r
+}
+
+// toParts returns parts in ascending order.
+func toParts(ids []uint64) []partblamer.Part {
+	out := make([]partblamer.Part, len(ids))
+	for i, id := range ids {
+		out[i] = partblamer.Part(id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func fromParts(parts []partblamer.Part) []uint64 {
+	out := make([]uint64, len(parts))
+	for i, p := range parts {
+		out[i] = uint64(p)
+	}
+	return out
+}
+
+// handlePartFact dispatches a fact about parts of prompts. It reports whether it was one.
+func (e *Exchanger) handlePartFact(f gossiper.Fact) bool {
+	if entry, ok := strings.CutPrefix(f.Key, keyCrashes); ok {
+		e.handleCrashes(entry, f)
+		return true
+	}
+	if collector, ok := strings.CutPrefix(f.Key, keySuspects); ok {
+		e.handleSuspects(collector, f)
+		return true
+	}
+	if strings.HasPrefix(f.Key, keyPart) {
+		e.handlePart(f)
+		return true
+	}
+	return false
+}
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -134,6 +134,7 @@
 	Replicas Replicas
 	Calls    Calls
 	Moves    Moves
+	Screener Screener
 }
 
 // Options configure an Exchanger.
@@ -156,6 +157,7 @@
 	calls     Calls
 	origin    Origin
 	moves     Moves
+	screener  Screener
 	clock     sequoiasill.Clock
 	bootClock sequoiasill.Clock // advances while the instance is suspended
 	limits    *limits
@@ -200,7 +202,7 @@
 // until Close. The boot clock must advance while the instance is suspended.
 func New(opts Options, conn net.PacketConn, l net.Listener, t *tallier.Tallier, h Handlers, clock, boot sequoiasill.Clock, seed uint64, log hclog.Logger) *Exchanger {
 	e := &Exchanger{
-		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, clock: clock, log: log.Named("exchanger"),
+		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, screener: h.Screener, clock: clock, log: log.Named("exchanger"),
 		client: &http.Client{Timeout: pullTimeout}, wake: make(chan struct{}, 1), stop: make(chan struct{}),
 		bootClock: boot, limits: newLimits(opts.Name, opts.Name+"/"+opts.Session, boot.Now(), seed),
 		tallier: t, demands: make(map[string]receivedDemand), sums: make(map[string]receivedDemand), spent: make(map[string]float64),
@@ -278,6 +280,9 @@
 			e.pull()
 		case <-limitCheck.C:
 			e.checkLimits()
+			e.exchangeCrashes()
+		case <-e.screener.Changed():
+			e.exchangeCrashes()
 		}
 	}
 }
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -18,10 +18,13 @@
 	"sequoiasill.dev/sequoiasill/decide/allotter"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/gossiper"
+	"sequoiasill.dev/sequoiasill/decide/partblamer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/decide/tallier"
 	"sequoiasill.dev/sequoiasill/decide/throttler"
 	"sequoiasill.dev/sequoiasill/relay/exchanger"
+	"sequoiasill.dev/sequoiasill/relay/meter"
+	"sequoiasill.dev/sequoiasill/relay/screener"
 )
 
 // entry is an Exchanger with fake handlers that record what it received.
@@ -42,6 +45,7 @@
 	facts     map[string]string // facts about moves, by key
 	sharedBy  int               // number of entries among which limits are divided
 	label     string
+	screener  *screener.Screener
 	limits    map[throttler.Upstream]registrar.KnownLimit
 }
 
@@ -185,9 +189,10 @@
 		e := &entry{replicas: make(map[string]string), demand: map[string]float64{"small": float64(10 * (i + 1))}, spent: 7, blamer: blamer.New(blamer.DefaultOptions()), facts: make(map[string]string), limits: make(map[throttler.Upstream]registrar.KnownLimit)}
 		name := fmt.Sprintf("e%d", i)
 		e.label = name
+		e.screener = screener.New(partblamer.New(partblamer.DefaultOptions()), clock, meter.New(), hclog.NewNullLogger())
 		opts := exchanger.Options{Name: name, Session: "1", Zone: "a", Address: l.Addr().String(), Seeds: seeds, MinEntries: 1}
 		tl := tallier.New(name+"/1", 5*sequoiasill.Second, 4)
-		e.Exchanger = exchanger.New(opts, conn, l, tl, exchanger.Handlers{Configs: e, Origin: e, Replicas: e, Calls: e, Moves: e}, clock, clock, uint64(i+1), hclog.NewNullLogger())
+		e.Exchanger = exchanger.New(opts, conn, l, tl, exchanger.Handlers{Configs: e, Origin: e, Replicas: e, Calls: e, Moves: e, Screener: e.screener}, clock, clock, uint64(i+1), hclog.NewNullLogger())
 		t.Cleanup(e.Close)
 		if i == 0 {
 			seeds = map[string]string{"first": l.Addr().String()}
--- a/relay/exchanger/facts.go
+++ b/relay/exchanger/facts.go
@@ -92,6 +92,7 @@
 		e.handleUse(f)
 	case strings.HasPrefix(f.Key, keyCensus):
 		e.handleCensus(f)
+	case e.handlePartFact(f):
 	case f.Key != keyHolder && !strings.HasPrefix(f.Key, keyUnavailable):
 		e.moves.HandleFact(f)
 	}
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -77,6 +77,12 @@
 // CrashCharged counts a call that is charged with the crash of its upstream.
 func (m *Meter) CrashCharged() { m.count("sequoia_crashes_charged_total") }
 
+// PartQuarantined counts a quarantine of a part of prompts that starts or is lifted, by whom it
+// was decided.
+func (m *Meter) PartQuarantined(lifted bool, source string) {
+	m.count(fmt.Sprintf(`sequoia_part_quarantines_total{lifted="%t",source=%q}`, lifted, source))
+}
+
 // CountCall counts a call to the platform by operation and outcome.
 func (m *Meter) CountCall(op, end string) {
 	m.count(fmt.Sprintf(`sequoia_platform_calls_total{op=%q,end=%q}`, op, end))
--- /dev/null
+++ b/relay/screener/screener.go
@@ -0,0 +1,163 @@
+// Package screener keeps calls from upstreams that a part of their prompt would crash. It makes
+// the state machine of package partblamer safe for concurrent use and logs its decisions.
+package screener
+
+import (
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/partblamer"
+)
+
+// Meter counts quarantines.
+type Meter interface {
+	// PartQuarantined counts a quarantine of a part that starts or is lifted, and by whom it was
+	// decided.
+	PartQuarantined(lifted bool, source string)
+}
+
+// Screener screens calls. It is safe for concurrent use.
+type Screener struct {
+	clock   sequoiasill.Clock
+	meter   Meter
+	log     hclog.Logger
+	changed chan struct{}
+
+	mu     sync.Mutex
+	blamer *partblamer.Blamer
+}
+
+// New returns a screener that decides with b.
+func New(b *partblamer.Blamer, clock sequoiasill.Clock, meter Meter, log hclog.Logger) *Screener {
+	return &Screener{clock: clock, meter: meter, log: log.Named("screener"), changed: make(chan struct{}, 1), blamer: b}
+}
+
+// Changed receives a value when Exchange should be called.
+func (s *Screener) Changed() <-chan struct{} { return s.changed }
+
+// update calls f with the state machine and the current time, and notifies Changed.
+func (s *Screener) update(f func(b *partblamer.Blamer, now sequoiasill.Millis)) {
+	s.mu.Lock()
+	f(s.blamer, s.clock.Now())
+	s.mu.Unlock()
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Screen decides whether a call with the given parts in its prompt may be sent to an upstream.
+// The delay until it may be tried again is set if it may not.
+func (s *Screener) Screen(parts []partblamer.Part) (d partblamer.Decision, retryAfter sequoiasill.Millis) {
+	if len(parts) == 0 {
+		return partblamer.Decision{}, 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	d = s.blamer.Screen(now, parts)
+	return d, max(d.NextProbe-now, 0)
+}
+
+// RecordCrash records that an upstream crashed under a call before it began to respond. It sets
+// the time of the crash.
+func (s *Screener) RecordCrash(c partblamer.Crash) {
+	if len(c.Parts) == 0 {
+		return
+	}
+	s.update(func(b *partblamer.Blamer, now sequoiasill.Millis) {
+		c.At = now
+		b.RecordCrash(now, c)
+	})
+}
+
+// RecordServed records that an upstream began to respond to a call with the given parts.
+func (s *Screener) RecordServed(parts []partblamer.Part) {
+	if len(parts) == 0 {
+		return
+	}
+	s.mu.Lock()
+	s.blamer.RecordServed(s.clock.Now(), parts)
+	due := s.blamer.ReportIsDue()
+	s.mu.Unlock()
+	if due {
+		s.update(func(*partblamer.Blamer, sequoiasill.Millis) {})
+	}
+}
+
+// SetSuspects sets the parts that a collector suspects.
+func (s *Screener) SetSuspects(collector string, parts []partblamer.Part) {
+	s.update(func(b *partblamer.Blamer, now sequoiasill.Millis) { b.SetSuspects(now, collector, parts) })
+}
+
+// Merge merges the report of another entry on a collector.
+func (s *Screener) Merge(entry string, r partblamer.Report) {
+	s.update(func(b *partblamer.Blamer, _ sequoiasill.Millis) { b.Merge(entry, r) })
+}
+
+// Quarantine quarantines a signature that another entry identified.
+func (s *Screener) Quarantine(signature partblamer.Signature, since, until sequoiasill.Millis) {
+	s.mu.Lock()
+	known := s.blamer.Quarantine(signature, since, until)
+	s.mu.Unlock()
+	if !known {
+		s.logQuarantine(signature, false, "gossip")
+	}
+}
+
+// Lift ends a quarantine that a call at another entry disproved.
+func (s *Screener) Lift(signature partblamer.Signature) {
+	s.mu.Lock()
+	known := s.blamer.Lift(s.clock.Now(), signature)
+	s.mu.Unlock()
+	if known {
+		s.logQuarantine(signature, true, "gossip")
+	}
+}
+
+func (s *Screener) logQuarantine(signature partblamer.Signature, lifted bool, source string) {
+	s.meter.PartQuarantined(lifted, source)
+	if lifted {
+		s.log.Info("quarantine of a part lifted", "parts", signature.String(), "source", source)
+		return
+	}
+	s.log.Warn("part of prompts crashes upstreams", "parts", signature.String(), "source", source)
+}
+
+// Outgoing is what the other entries must be told.
+type Outgoing struct {
+	Report    partblamer.Report // to the collectors, if it is due
+	ReportDue bool
+	Changes   []partblamer.Change // to all entries
+}
+
+// Idle reports whether there is nothing to exchange.
+func (s *Screener) Idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.blamer.Idle()
+}
+
+// Exchange returns what the other entries must be told. rank is the position of this entry among
+// the collectors, or negative if it is not one. Collectors also evaluate the reports of the
+// others, and the first one lets calls through that test quarantines.
+func (s *Screener) Exchange(rank int) Outgoing {
+	s.mu.Lock()
+	now := s.clock.Now()
+	s.blamer.SetProbing(rank == 0)
+	if rank >= 0 {
+		s.blamer.Decide(now)
+	}
+	var out Outgoing
+	out.Report, out.ReportDue = s.blamer.Report(now)
+	out.Changes = s.blamer.TakeChanges()
+	s.mu.Unlock()
+	for _, c := range out.Changes {
+		if c.Signature != nil && !c.Extended {
+			s.logQuarantine(c.Signature, !c.Quarantined, "own")
+		}
+	}
+	return out
+}
