--- a/decide/partblamer/collector.go
+++ b/decide/partblamer/collector.go
@@ -30,7 +30,7 @@
 		if guilty == nil {
 			return
 		}
-		q := &quarantine{signature: guilty.signature(served), since: now, until: now + b.opts.QuarantineDuration, nextProbe: now + b.opts.ProbeDelay}
+		q := b.newQuarantine(guilty.signature(served), now, now+b.opts.QuarantineDuration)
 		b.quarantines[q.signature.String()] = q
 		b.changes = append(b.changes, q.change())
 	}
--- a/decide/partblamer/partblamer.go
+++ b/decide/partblamer/partblamer.go
@@ -302,7 +302,7 @@
 		q.until = max(q.until, until)
 		return true
 	}
-	b.quarantines[key] = &quarantine{signature: s, since: since, until: until, nextProbe: since + b.opts.ProbeDelay}
+	b.quarantines[key] = b.newQuarantine(s, since, until)
 	return false
 }
 
@@ -353,17 +353,37 @@
 }
 
 // Quarantined returns the quarantined signatures, sorted.
-func (b *Blamer) Quarantined(now sequoiasill.Millis) []string {
-	var out []string
-	for key, q := range b.quarantines {
+func (b *Blamer) Quarantined(now sequoiasill.Millis) []Signature {
+	var out []Signature
+	for _, q := range b.quarantines {
 		if q.until > now {
-			out = append(out, key)
+			out = append(out, q.signature)
 		}
 	}
-	slices.Sort(out)
+	slices.SortFunc(out, slices.Compare[Signature])
 	return out
 }
 
+// Restore quarantines signatures that were stored by an earlier process, except those whose parts
+// were all served since this one started.
+func (b *Blamer) Restore(now sequoiasill.Millis, stored []Signature) {
+	for _, s := range stored {
+		if _, known := b.quarantines[s.String()]; known || b.allServed(s) {
+			continue
+		}
+		q := b.newQuarantine(s, now, now+b.opts.QuarantineDuration)
+		b.quarantines[s.String()] = q
+		b.changes = append(b.changes, q.change())
+	}
+}
+
+func (b *Blamer) allServed(parts []Part) bool {
+	return !slices.ContainsFunc(parts, func(p Part) bool {
+		_, ok := b.served.last(p)
+		return !ok
+	})
+}
+
 // TakeChanges returns the changes since the last call.
 func (b *Blamer) TakeChanges() []Change {
 	out := b.changes
@@ -376,6 +396,10 @@
 	return len(b.crashes) == 0 && len(b.suspects) == 0 && len(b.reports) == 0 && len(b.quarantines) == 0 && len(b.changes) == 0 && len(b.announced) == 0 && !b.reportIsDue
 }
 
+func (b *Blamer) newQuarantine(s Signature, since, until sequoiasill.Millis) *quarantine {
+	return &quarantine{signature: s, since: since, until: until, nextProbe: since + b.opts.ProbeDelay}
+}
+
 func (q *quarantine) change() Change {
 	return Change{Signature: q.signature, Quarantined: true, Since: q.since, Until: q.until}
 }
--- a/decide/partblamer/partblamer_test.go
+++ b/decide/partblamer/partblamer_test.go
@@ -53,7 +53,7 @@
 func TestPartIsQuarantined(t *testing.T) {
 	tests := map[string]struct {
 		play func(c *collector)
-		want []string
+		want []partblamer.Signature
 	}{
 		"three crashes under a part that is never served": {func(c *collector) {
 			c.serve(hot)
@@ -61,7 +61,7 @@
 				c.crash(i, prompt(hot, rare, deadly))
 				c.serve(hot, rare)
 			}
-		}, []string{"4"}},
+		}, []partblamer.Signature{{deadly}}},
 		"two crashes": {func(c *collector) {
 			c.crash(1, prompt(deadly))
 			c.crash(2, prompt(deadly))
@@ -97,18 +97,18 @@
 			for i := range uint64(5) {
 				c.crash(i, prompt(deadly))
 			}
-		}, []string{"4"}},
+		}, []partblamer.Signature{{deadly}}},
 		"a sound part in all calls with the deadly one, not served since": {func(c *collector) {
 			c.serve(hot, rare)
 			for i := range uint64(8) {
 				c.crash(i, prompt(hot, rare, deadly), prompt(hot), prompt(rare))
 			}
-		}, []string{"4"}},
+		}, []partblamer.Signature{{deadly}}},
 		"new parts that always come together": {func(c *collector) {
 			for i := range uint64(4) {
 				c.crash(i, prompt(rare, deadly))
 			}
-		}, []string{"2,4"}},
+		}, []partblamer.Signature{{rare, deadly}}},
 		"crashes long ago": {func(c *collector) {
 			for i := range uint64(5) {
 				c.crash(i, prompt(deadly))
@@ -121,7 +121,7 @@
 				c.crash(2*i+1, prompt(hot, deadly))
 				c.serve(hot)
 			}
-		}, []string{"3", "4"}},
+		}, []partblamer.Signature{{other}, {deadly}}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/relay/screener/screener.go
+++ b/relay/screener/screener.go
@@ -126,6 +126,18 @@
 	s.log.Warn("part of prompts crashes upstreams", "parts", signature.String(), "source", source)
 }
 
+// Quarantined returns the quarantined signatures, sorted.
+func (s *Screener) Quarantined() []partblamer.Signature {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.blamer.Quarantined(s.clock.Now())
+}
+
+// Restore quarantines stored signatures, unless calls of this process have disproved them.
+func (s *Screener) Restore(stored []partblamer.Signature) {
+	s.update(func(b *partblamer.Blamer, now sequoiasill.Millis) { b.Restore(now, stored) })
+}
+
 // Outgoing is what the other entries must be told.
 type Outgoing struct {
 	Report    partblamer.Report // to the collectors, if it is due
