Cut or resume streams that end inside an event

An upstream's response may come with neither a length nor chunks and end with its connection. A stream that did so inside an event was delivered with the torn event and as complete; one that ended before its first event counted as a complete, empty stream, cleared the request of suspected crashes and was delivered with status 200.

Cause: the end of the body was taken for the end of the stream, which holds only where framing tells them apart. The bytes after the last complete event now mean that the stream broke off, and so does an end without framing before the first event. Such streams are resumed where the route allows it, or cut so that the caller can tell.

--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -46,6 +46,7 @@
 	Misdirected bool               // the address now belongs to another upstream
 	Authentic   bool               // authenticated as the upstream's response to this call
 	EventStream bool               // the body is an event stream
+	UntilClose  bool               // the body has no framing and ends when the upstream closes the connection
 	Draining    bool               // the upstream is draining
 	Pause       sequoiasill.Millis // pause that the upstream requests, 0 for none
 	Limit       registrar.Limit    // rate limit that the upstream applies to the calls of all entries
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -40,6 +40,7 @@
 	events        bool
 	body          string
 	broken        bool // the body ends with an error
+	untilClose    bool // the body ends when the connection is closed
 	draining      bool
 	pause         sequoiasill.Millis
 	limit         registrar.Limit
@@ -95,7 +96,7 @@
 	}
 	return &dispatcher.Response{
 		Status: s.status, Header: http.Header{"X-Upstream": {a.Replica.Name}}, Refused: s.refused, Authentic: !s.forged,
-		Draining: s.draining, Pause: s.pause, Limit: s.limit, EventStream: s.events, Body: body, Close: func(whole bool) {
+		Draining: s.draining, Pause: s.pause, Limit: s.limit, EventStream: s.events, UntilClose: s.untilClose, Body: body, Close: func(whole bool) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.readWhole = append(c.readWhole, whole)
@@ -308,6 +309,18 @@
 				{status: 200, events: true, body: "id: 1\ndata: a\n\nid: 2\nda", broken: true},
 				{status: 200, events: true, body: "id: 2\ndata: b\n\n"}},
 			reply{Status: 200, Body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Ended: true}, 2, 1},
+		"a stream that ends inside an event is cut": {
+			"/long/x", "key", []step{{status: 200, events: true, untilClose: true, body: "id: 1\ndata: a\n\nid: 2\nda"}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\n", WasCut: true}, 1, 1},
+		"a stream that ends inside an event is resumed elsewhere": {
+			"/quick/x", "key", []step{
+				{status: 200, events: true, untilClose: true, body: "id: 1\ndata: a\n\nid: 2\nda"},
+				{status: 200, events: true, untilClose: true, body: "id: 2\ndata: b\n\n"}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Ended: true}, 2, 1},
+		"a stream that ends with its connection before its first event": {
+			"/long/x", "key", []step{{status: 200, events: true, untilClose: true}}, reply{Status: 502, Ended: true}, 1, 0},
+		"a stream without an event that ends as its framing says": {
+			"/long/x", "key", []step{{status: 200, events: true}}, reply{Status: 200, Ended: true}, 1, 1},
 		"a stream that is not resumed is cut": {
 			"/quick/x", "key", []step{
 				{status: 200, events: true, body: "id: 1\ndata: a\n\n", broken: true},
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -78,7 +78,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			return f.deliverTail(pending)
+			return f.end(pending)
 		case err != nil:
 			return err
 		case len(pending) > maxEventBytes:
@@ -87,13 +87,17 @@
 	}
 }
 
-// deliverTail delivers the bytes after the last complete event when the stream ends, or only
-// the header if the stream was empty.
-func (f *forwarder) deliverTail(b []byte) error {
-	if len(b) == 0 && f.headerSent {
+// end handles the end of the stream, with the bytes after its last complete event. A stream that
+// ends inside an event broke off, and so did one that ended with its connection before its first
+// event. A stream without events is delivered as a header.
+func (f *forwarder) end(rest []byte) error {
+	switch {
+	case len(rest) > 0, f.events == 0 && f.response.UntilClose:
+		return io.ErrUnexpectedEOF
+	case f.headerSent:
 		return nil
 	}
-	if err := f.deliver(b); err != nil {
+	if err := f.deliver(nil); err != nil {
 		f.callerGone = true
 		return err
 	}
