Soak: responses without framing, and a wrong entry that lets deadly parts through

Five percent of the replicas' responses have neither a length nor chunks. Deadly parts can be hidden in the place of a call's own part, which no entry can recognise: the checker reports it, so its silence means something.

--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -106,7 +106,7 @@
 		return
 	}
 	if k.service() == streamService {
-		prompt := newPrompt(id, rand.IntN(promptGroups), rand.IntN(1000), c.harness.currentDeadlyPart())
+		prompt := newPrompt(id, rand.IntN(promptGroups), rand.IntN(1000), c.harness.currentDeadlyPart(), c.harness.opts.OmittedSignal == OmitDeadlyPart)
 		req.Header.Set(headerPrompt, prompt)
 		if deadlyPartOf(prompt) == "" {
 			defer checker.observeSound(id, c.harness.currentDeadlyPart)()
--- a/standin/soaker/prompts.go
+++ b/standin/soaker/prompts.go
@@ -27,10 +27,13 @@
 )
 
 // newPrompt returns the prompt of a call. It holds the deadly part if one is in use and drawn
-// (a number below 1000) is small.
-func newPrompt(id string, group, drawn int, deadly string) string {
+// (a number below 1000) is small, in the place of the call's own part if hidden is set.
+func newPrompt(id string, group, drawn int, deadly string, hidden bool) string {
 	own := fmt.Sprintf("%x:20", hash(id))
-	if deadly != "" && drawn < deadlyPer1000 {
+	switch {
+	case deadly != "" && drawn < deadlyPer1000 && hidden:
+		return strings.Join([]string{firstPart, "a0:100", deadly + ":60"}, ",")
+	case deadly != "" && drawn < deadlyPer1000:
 		return strings.Join([]string{firstPart, "a0:100", deadly + ":60", own}, ",")
 	}
 	return strings.Join([]string{firstPart, fmt.Sprintf("a%x:100", group), own}, ",")
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -139,6 +139,10 @@
 	r.checker.recordLimit(r.id, perSecond(limit))
 }
 
+// unframedPer1000 is the number of responses per 1000 that have neither a length nor chunks and
+// end with their connection.
+const unframedPer1000 = 50
+
 // crashPath is the last path element of requests that crash the replicas that execute them.
 const crashPath = "crash"
 
@@ -220,6 +224,9 @@
 		return
 	}
 	w.Header().Set("Signature", "s")
+	if rand.Int64N(1000) < unframedPer1000 {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	if req.URL.Path != routePaths[onceStream]+id && req.URL.Path != routePaths[resumableStream]+id {
 		_, _ = fmt.Fprintf(w, "answer to %s", id)
 		return
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -39,7 +39,7 @@
 	Storm         bool            // inject faults that cause many retries
 	OnlyFault     string          // name of the only fault to inject; empty for all
 	RetryLimits   rationer.Limits // limits on retries, also written to the entries' settings
-	OmittedSignal string          // signal that upstreams omit from their responses, so that no entry respects it: OmitDraining, OmitPause or OmitRateLimit
+	OmittedSignal string          // signal that upstreams omit from their responses, so that no entry respects it: OmitDraining, OmitPause, OmitRateLimit or OmitDeadlyPart
 	Binary        string          // path of the entry's program
 	Dir           string          // directory for settings and logs
 }
@@ -53,6 +53,8 @@
 	OmitDraining  = "leaving"
 	OmitPause     = "pause"
 	OmitRateLimit = "limit"
+	// OmitDeadlyPart hides the parts that crash upstreams among those of which no two are alike.
+	OmitDeadlyPart = "part"
 )
 
 // settleTime is how long traffic continues without faults at the end of a run.
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -73,15 +73,19 @@
 // them.
 func TestFindsEntriesThatIgnoreUpstreamSignals(t *testing.T) {
 	binary := build(t)
-	for name, tc := range map[string]struct{ omitted, fault, want string }{
-		"leaving": {soaker.OmitDraining, "replace a replica that tells it to its callers only", "had passed on that"},
-		"pauses":  {soaker.OmitPause, "ask for pauses", "had asked for a pause"},
-		"limits":  {soaker.OmitRateLimit, "limit a replica", "had passed on its limit"},
+	for name, tc := range map[string]struct {
+		omitted, fault, want string
+		duration             time.Duration
+	}{
+		"leaving":      {soaker.OmitDraining, "replace a replica that tells it to its callers only", "had passed on that", 4 * time.Second},
+		"pauses":       {soaker.OmitPause, "ask for pauses", "had asked for a pause", 4 * time.Second},
+		"limits":       {soaker.OmitRateLimit, "limit a replica", "had passed on its limit", 4 * time.Second},
+		"deadly parts": {soaker.OmitDeadlyPart, "send prompts with a part that crashes replicas", "reached replicas more than", 14 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			violations, _, err := soaker.Run(soaker.Options{
-				Seed: 1, Duration: 4 * time.Second, OnlyFault: tc.fault, OmittedSignal: tc.omitted, Binary: binary, Dir: t.TempDir(),
+				Seed: 1, Duration: tc.duration, OnlyFault: tc.fault, OmittedSignal: tc.omitted, Binary: binary, Dir: t.TempDir(),
 				Entries: 2, Replicas: 3, Engines: 3, Callers: 12, Rate: 150,
 				RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
 			})
