Spare parts that come with a more specific suspect

The strongest suspect was the one with the most upstreams.

A part is now spared while another suspect was in fewer calls but in nearly all of its crashes.

TestOnlyDeadlyPartsAreQuarantined failed before.

--- a/decide/partblamer/collector.go
+++ b/decide/partblamer/collector.go
@@ -121,6 +121,18 @@
 	}
 }
 
+// upstreamsWithout returns the number of upstreams that crashed only under calls without another
+// part.
+func (s *suspicion) upstreamsWithout(other Part) int {
+	with := make(map[uint64]bool)
+	for _, c := range s.crashes {
+		if slices.Contains(c.Parts, other) {
+			with[c.Upstream] = true
+		}
+	}
+	return len(s.crashedAt) - len(with)
+}
+
 // outages returns the number of crashes, where those within a window of time count as one.
 func (s *suspicion) outages(window sequoiasill.Millis) int {
 	n, last := 0, sequoiasill.Millis(0)
@@ -173,10 +185,17 @@
 	}
 }
 
-// guiltiest returns the strongest suspicion that suffices for a quarantine, or nil.
+// guiltiest returns the strongest suspicion that suffices for a quarantine, or nil. A part is
+// spared while another suspect, which was in fewer calls, was in nearly all of its calls: the
+// part may merely have been in a further call that crashed for another reason.
 func (b *Blamer) guiltiest(now sequoiasill.Millis, cases map[Part]*suspicion) *suspicion {
-	for _, s := range sorted(cases) {
-		if b.suffices(now, s) {
+	ordered := sorted(cases)
+	for _, s := range ordered {
+		spared := slices.ContainsFunc(ordered, func(other *suspicion) bool {
+			return len(other.crashedAt) >= b.opts.SuspicionThreshold && len(other.crashes) < len(s.crashes) &&
+				s.upstreamsWithout(other.part) < b.opts.CrashThreshold
+		})
+		if !spared && b.suffices(now, s) {
 			return s
 		}
 	}
--- a/decide/partblamer/partblamer_test.go
+++ b/decide/partblamer/partblamer_test.go
@@ -109,6 +109,12 @@
 				c.crash(i, prompt(rare, deadly))
 			}
 		}, []partblamer.Signature{{rare, deadly}}},
+		"a sound part in all calls with the deadly one, and in an earlier crash": {func(c *collector) {
+			c.crash(9, prompt(rare))
+			for i := range uint64(4) {
+				c.crash(i, prompt(rare, deadly))
+			}
+		}, []partblamer.Signature{{rare, deadly}}},
 		"crashes long ago": {func(c *collector) {
 			for i := range uint64(5) {
 				c.crash(i, prompt(deadly))
