--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -24,6 +26,7 @@
 	DropResponsesPerThousand int           // fraction of writes that take effect and whose response is lost
 	LostWriteDelay           time.Duration // delay after which such writes take effect
 	MissChanges              bool          // watches miss all changes
+	Era                      string        // value of the header Store-Era instead of the true one, empty for none
 	PageSize                 int           // entries per page of a list, 0 for 500
 	NoReclaimable            bool          // no reclaimable upstreams are available
 }
@@ -87,6 +90,9 @@
 	rand           *rand.Rand
 	epochs         map[string]uint64 // highest epoch received, by duty and subject
 	unfenced       bool              // lower epochs are accepted too
+	copies         []snapshot        // oldest first
+	eraHeader      atomic.Value
+	era            uint64 // header Store-Era of responses, 0 for none
 	usage          []Usage
 	scaling        []Scaling
 	calls          int
@@ -98,6 +104,7 @@
 		log: log, objects: make(map[string]map[string]Object), changed: make(chan struct{}),
 		rand: rand.New(rand.NewPCG(seed, 0)), epochs: make(map[string]uint64), revision: 1,
 	}
+	s.setEraHeader()
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/objects/{kind}", s.list)
 	mux.HandleFunc("POST /-/objects/{kind}", s.create)
@@ -123,6 +130,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	s.setEraHeader()
+}
+
+// SetEra sets the era of the store, which each return from a copy increments. By default responses
+// have none until then.
+func (s *Store) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+	s.setEraHeader()
 }
 
 // SetFenced sets whether calls with an old epoch are refused. By default they are.
@@ -171,6 +188,13 @@
 	}
 }
 
+// Names returns the names of the objects of a kind.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.objects[kind]))
+}
+
 // Usage returns the usage reports accepted so far.
 func (s *Store) Usage() []Usage {
 	s.mu.Lock()
@@ -202,6 +226,7 @@
 		lose := write && s.rand.IntN(1000) < f.DropResponsesPerThousand
 		s.mu.Unlock()
 		time.Sleep(f.Delay)
+		w = &eraWriter{ResponseWriter: w, store: s}
 		if f.RefuseStatus != 0 && (f.RefuseIP == "" || strings.HasPrefix(r.RemoteAddr, f.RefuseIP+":")) {
 			w.WriteHeader(f.RefuseStatus)
 			return
@@ -233,6 +258,7 @@
 
 // write stores an object under a new revision. The caller holds the lock.
 func (s *Store) write(kind string, o Object) Object {
+	s.takeCopy()
 	if s.objects[kind] == nil {
 		s.objects[kind] = make(map[string]Object)
 	}
@@ -251,6 +277,7 @@
 
 // deleteObject deletes an object under a new revision. The caller holds the lock.
 func (s *Store) deleteObject(kind string, o Object) {
+	s.takeCopy()
 	s.revision++
 	o.Metadata.Revision = s.revision
 	delete(s.objects[kind], o.Metadata.Name)
@@ -322,7 +349,7 @@
 func (s *Store) eventsAfter(kind string, after uint64) (events []Event, at uint64, next <-chan struct{}, compacted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.oldestRevision {
+	if after < s.oldestRevision || after > s.revision {
 		return nil, 0, nil, true
 	}
 	if !s.faults.MissChanges {
