Leases end with the store's era, and epochs are not used twice

A lease record goes back with the store: its holder took the old record for its own, a successor took the next epoch a second time, and both acted.

A process that learns of a new era stops acting at once, forgets its pending write and waits for the length of the lease, in which a holder that has not learned of it stops. The first epoch of an era is 64 above for each era since the record, which exceeds the holders that a copy can lack, and above all that this process has seen. Without a record a process waits for the length of the lease from its first read on, as the record may be missing in a copy.

--- a/config/encoder/status.go
+++ b/config/encoder/status.go
@@ -44,6 +44,7 @@
 	Epoch   uint64 `json:"epoch"`
 	Length  int64  `json:"lengthMillis"`
 	Renewal uint64 `json:"renewal"`
+	Era     uint64 `json:"era,omitempty"`
 }
 
 // LeasePrefix is the prefix of the names of lease objects.
@@ -55,11 +56,12 @@
 	Epoch   uint64
 	Length  sequoiasill.Millis
 	Renewal uint64
+	Era     uint64
 }
 
 // EncodeLease encodes a lease for the store.
 func EncodeLease(l Lease) ([]byte, error) {
-	b, err := json.Marshal(wireLease{Holder: l.Holder, Epoch: l.Epoch, Length: int64(l.Length), Renewal: l.Renewal})
+	b, err := json.Marshal(wireLease{Holder: l.Holder, Epoch: l.Epoch, Length: int64(l.Length), Renewal: l.Renewal, Era: l.Era})
 	return b, errors.Annotate(err, "encode lease")
 }
 
@@ -69,5 +71,5 @@
 	if err := json.Unmarshal(b, &w); err != nil {
 		return Lease{}, errors.Annotate(err, "decode lease")
 	}
-	return Lease{Holder: w.Holder, Epoch: w.Epoch, Length: sequoiasill.Millis(w.Length), Renewal: w.Renewal}, nil
+	return Lease{Holder: w.Holder, Epoch: w.Epoch, Length: sequoiasill.Millis(w.Length), Renewal: w.Renewal, Era: w.Era}, nil
 }
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -244,6 +244,14 @@
 // leaseStore stores lease objects in the object store.
 type leaseStore struct{ store Store }
 
+// Era implements leaseholder.EraStore.
+func (l leaseStore) Era() uint64 {
+	if s, ok := l.store.(interface{ Era() uint64 }); ok {
+		return s.Era()
+	}
+	return 0
+}
+
 // Read implements leaseholder.Store.
 func (l leaseStore) Read(name string) ([]byte, uint64, error) {
 	o, err := l.store.Get(name)
--- a/control/leaseholder/leaseholder.go
+++ b/control/leaseholder/leaseholder.go
@@ -26,6 +26,14 @@
 	Write(name string, value []byte, version uint64) (uint64, error)
 }
 
+// EraStore is a Store that may come back from a copy, see sequoiasill.StoreVersion.
+type EraStore interface {
+	Store
+
+	// Era returns the newest known era, 0 if the store has none.
+	Era() uint64
+}
+
 // tickInterval is the interval of the lease's time checks.
 const tickInterval = 100 * time.Millisecond
 
@@ -39,8 +47,10 @@
 	once  sync.Once
 	done  chan struct{}
 
-	mu    sync.Mutex
-	lease *leaser.Lease
+	mu      sync.Mutex
+	lease   *leaser.Lease
+	era     uint64
+	wasRead bool // the lease was read in the era
 }
 
 // New returns a Holder that competes for the named lease until Close or Abandon. Self
@@ -92,14 +102,36 @@
 func (h *Holder) MayAct() (epoch uint64, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.checkEra()
 	return h.lease.MayAct(h.clock.Now())
 }
 
+// checkEra ends the lease if the store is in another era than when it was read. The caller must
+// hold h.mu.
+func (h *Holder) checkEra() {
+	s, ok := h.store.(EraStore)
+	if !ok {
+		return
+	}
+	era := s.Era()
+	if era == h.era {
+		return
+	}
+	if h.wasRead {
+		h.lease.ChangeEra(h.clock.Now(), era)
+	} else {
+		h.lease.SetEra(era)
+	}
+	h.log.Info("lease starts anew in an era of the store", "before", h.era, "era", era)
+	h.era = era
+}
+
 // Remaining returns the remaining time of the lease, after which an action under the epoch
 // must be cancelled. It is 0 if the lease is no longer held under that epoch.
 func (h *Holder) Remaining(epoch uint64) sequoiasill.Millis {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.checkEra()
 	now := h.clock.Now()
 	if heldEpoch, _ := h.lease.MayAct(now); heldEpoch != epoch {
 		return 0
@@ -111,6 +143,9 @@
 func (h *Holder) step(ev leaser.Event) {
 	for ev != nil {
 		h.mu.Lock()
+		h.checkEra()
+		read, isRead := ev.(leaser.ReadDone)
+		h.wasRead = h.wasRead || isRead && !read.Failed
 		a := h.lease.Step(h.clock.Now(), ev)
 		h.mu.Unlock()
 		ev = h.perform(a)
--- a/decide/leaser/leaser.go
+++ b/decide/leaser/leaser.go
@@ -5,6 +5,11 @@
 // clock, so clocks of different processes are never compared (Gray and Cheriton,
 // "Leases", 1989). The epoch is the fencing token of every command that the holder sends.
 //
+// The store may come back from a copy that is some seconds old, as counted by its era. Writes
+// since then are lost, and a lease with them: it ends at once for a holder that learns of the
+// new era, and nobody takes it before a holder that has not learned of it must have stopped.
+// The first epoch of an era exceeds all that may have been used before.
+//
 // A Lease is a state machine without I/O; spec/lease.pml is its model.
 package leaser
 
@@ -16,8 +21,18 @@
 	Epoch   uint64
 	Length  sequoiasill.Millis
 	Renewal uint64 // incremented by each renewal
+	Era     uint64 // of the store when it was written, 0 if the store has none
 }
 
+const (
+	// epochsPerEra is added to the epoch for each era since the record was written. It exceeds the
+	// number of holders that a lease can have in the time that a copy lags behind.
+	epochsPerEra = 64
+	// eraCycle bounds the eras that count for the first epoch of a lease without a record, so that
+	// epochs stay small.
+	eraCycle = 1024
+)
+
 // Options configure a Lease.
 type Options struct {
 	Length sequoiasill.Millis
@@ -26,6 +41,10 @@
 	// must be sent at least this long before the lease expires.
 	MaxMessageDelay sequoiasill.Millis
 	PollInterval    sequoiasill.Millis // poll interval while another process holds the lease
+	// WaitsAtStart makes a process wait for the length of the lease before it takes one without a
+	// record: the record may be missing because the store came back from a copy, and its holder
+	// may still act.
+	WaitsAtStart bool
 }
 
 // DefaultOptions returns the options that controllers use.
@@ -97,18 +116,36 @@
 	lastRecord     Record
 	version        uint64
 	versionSeenAt  sequoiasill.Millis // when the current version was first seen
+	firstReadAt    sequoiasill.Millis
 	lastReadAt     sequoiasill.Millis
 	fresh          bool // the record was read since the last conflict or unknown write
 
 	epoch     uint64
 	expiresAt sequoiasill.Millis // 0 if the lease is not held
 	released  bool
+
+	era          uint64
+	eraChangedAt sequoiasill.Millis // when this process learned of the era, 0 if it knew no earlier one
+	maxEpoch     uint64             // highest epoch that was read or written
+	minEpoch     uint64             // lower bound on the next epoch
 }
 
 // New returns a lease that self does not hold yet. Self must be unique to each start
 // of the process.
 func New(self string, opts Options) *Lease { return &Lease{opts: opts, self: self} }
 
+// SetEra sets the store's era before the first read.
+func (l *Lease) SetEra(era uint64) { l.era = era }
+
+// ChangeEra ends the lease because the store came back from a copy, and makes this process wait
+// until a holder that has not learned of it has stopped.
+func (l *Lease) ChangeEra(now sequoiasill.Millis, era uint64) {
+	l.era, l.eraChangedAt = era, now
+	l.minEpoch = max(l.minEpoch, l.maxEpoch) + epochsPerEra
+	l.expiresAt, l.pendingRecord = 0, Record{}
+	l.fresh, l.lastReadAt = false, 0
+}
+
 // MayAct reports whether this process may act under the lease at now, and the
 // lease's epoch. Callers must check it before each action.
 func (l *Lease) MayAct(now sequoiasill.Millis) (epoch uint64, ok bool) {
@@ -153,11 +190,15 @@
 		return
 	}
 	l.fresh = true
+	if l.firstReadAt == 0 {
+		l.firstReadAt = now
+	}
 	if ev.Version != l.version || l.versionSeenAt == 0 {
 		l.versionSeenAt = now
 	}
 	l.version = ev.Version
 	l.lastRecord = ev.Record
+	l.maxEpoch = max(l.maxEpoch, ev.Record.Epoch)
 	if ev.Record.Holder == l.self && ev.Record == l.pendingRecord {
 		// A write whose response was lost has taken effect.
 		l.epoch = ev.Record.Epoch
@@ -169,8 +210,14 @@
 }
 
 func (l *Lease) handleWritten(ev WriteDone) {
+	if l.eraChangedAt > 0 && l.writeStartedAt <= l.eraChangedAt {
+		// The write was based on a record of the era before.
+		l.fresh = false
+		return
+	}
 	switch ev.Result {
 	case OK:
+		l.maxEpoch = max(l.maxEpoch, l.pendingRecord.Epoch)
 		l.version = ev.Version
 		l.lastRecord = l.pendingRecord
 		l.epoch = l.pendingRecord.Epoch
@@ -202,7 +249,7 @@
 			return l.startWrite(now, Record{Holder: l.self, Epoch: l.epoch, Length: l.opts.Length, Renewal: l.lastRecord.Renewal + 1})
 		}
 	case l.acquirable(now):
-		return l.startWrite(now, Record{Holder: l.self, Epoch: l.lastRecord.Epoch + 1, Length: l.opts.Length})
+		return l.startWrite(now, Record{Holder: l.self, Epoch: l.nextEpoch(), Length: l.opts.Length})
 	case now-l.lastReadAt >= l.opts.PollInterval || l.needsConfirmingRead(now):
 		return ReadRecord{}
 	}
@@ -219,13 +266,30 @@
 // was released, or a read has confirmed that the record did not change for its full
 // length since it was first seen here.
 func (l *Lease) acquirable(now sequoiasill.Millis) bool {
+	if l.eraChangedAt > 0 && now < l.eraChangedAt+l.opts.Length {
+		return false
+	}
 	if l.version == 0 || l.lastRecord.Length == 0 {
-		return true
+		return !l.opts.WaitsAtStart || now-l.firstReadAt >= l.opts.Length
 	}
 	return now-l.versionSeenAt >= l.lastRecord.Length && l.lastReadAt-l.versionSeenAt >= l.lastRecord.Length
 }
 
+// nextEpoch returns the epoch of a new holder. Records that were lost in a return from a copy may
+// have had higher epochs than the current one.
+func (l *Lease) nextEpoch() uint64 {
+	if l.version == 0 {
+		return max(l.era%eraCycle*epochsPerEra+1, l.minEpoch)
+	}
+	epoch := l.lastRecord.Epoch + 1
+	if l.lastRecord.Era > 0 && l.era > l.lastRecord.Era {
+		epoch += epochsPerEra * (l.era - l.lastRecord.Era)
+	}
+	return max(epoch, l.minEpoch)
+}
+
 func (l *Lease) startWrite(now sequoiasill.Millis, r Record) Action {
+	r.Era = l.era
 	l.pendingRecord = r
 	l.writeStartedAt = now
 	return WriteRecord{Record: r, Version: l.version}
--- a/relay/roller/roller.go
+++ b/relay/roller/roller.go
@@ -230,6 +230,14 @@
 	roller *Roller
 }
 
+// Era implements leaseholder.EraStore.
+func (t publishingStore) Era() uint64 {
+	if s, ok := t.Store.(interface{ Era() uint64 }); ok {
+		return s.Era()
+	}
+	return 0
+}
+
 // Get implements controller.Store.
 func (t publishingStore) Get(name string) (storer.Object, error) {
 	o, err := t.Store.Get(name)
