Report a usage window again only with the same counts after a return from a copy

The holder now tells all entries the recorded counts, and a holder that loads an older record goes on from the announced one.

TestReturnFromCopyKeepsCounts fails without the witness.

--- a/control/accountant/accountant.go
+++ b/control/accountant/accountant.go
@@ -25,6 +25,14 @@
 	Total(window int64) tallier.Counts
 }
 
+// Witness remembers the last recorded counts at other entries. It makes up for a store that comes
+// back from a copy that lacks the record: a report must not be sent with other counts.
+type Witness interface {
+	AnnounceRecord(window int64, calls map[string]int)
+	// KnownRecord returns the newest announced record, if any.
+	KnownRecord() (window int64, calls map[string]int, ok bool)
+}
+
 // Options configure an Accountant.
 type Options struct {
 	Window sequoiasill.Millis
@@ -45,6 +53,7 @@
 	store   leaseholder.Store
 	cloud   Cloud
 	counter Counter
+	witness Witness
 	log     hclog.Logger
 
 	epoch   uint64
@@ -66,8 +75,8 @@
 }
 
 // New returns an accountant that has not loaded the recorded counts yet.
-func New(opts Options, store leaseholder.Store, cloud Cloud, counter Counter, log hclog.Logger) *Accountant {
-	return &Accountant{opts: opts, store: store, cloud: cloud, counter: counter, log: log.Named("accountant")}
+func New(opts Options, store leaseholder.Store, cloud Cloud, counter Counter, witness Witness, log hclog.Logger) *Accountant {
+	return &Accountant{opts: opts, store: store, cloud: cloud, counter: counter, witness: witness, log: log.Named("accountant")}
 }
 
 // Act performs one step under the lease epoch: it records and sends the report that is
@@ -127,6 +136,10 @@
 		}
 		a.last = record(w)
 	}
+	if window, calls, ok := a.witness.KnownRecord(); ok && window > a.last.Window {
+		a.log.Warn("stored usage record is older than the announced one", "stored", a.last.Window, "announced", window)
+		a.last = record{Window: window, Calls: calls}
+	}
 	a.loaded = true
 	return nil
 }
@@ -147,6 +160,7 @@
 		return errors.Annotate(err, "write usage record")
 	}
 	a.version, a.last, a.sent = version, r, false
+	a.witness.AnnounceRecord(r.Window, r.Calls)
 	return nil
 }
 
--- a/control/accountant/accountant_test.go
+++ b/control/accountant/accountant_test.go
@@ -63,6 +63,19 @@
 	return nil
 }
 
+// witness remembers the last announced record.
+type witness struct {
+	window int64
+	calls  map[string]int
+}
+
+func (w *witness) AnnounceRecord(window int64, calls map[string]int) {
+	w.window, w.calls = window, calls
+}
+func (w *witness) KnownRecord() (window int64, calls map[string]int, ok bool) {
+	return w.window, w.calls, w.calls != nil
+}
+
 type counter map[int64]tallier.Counts
 
 func (c counter) Total(window int64) tallier.Counts { return c[window] }
@@ -82,7 +95,7 @@
 
 func TestReportsEachWindowOnce(t *testing.T) {
 	c := &cloud{}
-	a := accountant.New(options, &store{}, c, counter{1: {"small": 2}, 3: {"small": 4}}, hclog.NewNullLogger())
+	a := accountant.New(options, &store{}, c, counter{1: {"small": 2}, 3: {"small": 4}}, &witness{}, hclog.NewNullLogger())
 	act(t, a, 5_000, 40_000, 1)
 	want := []report{{1, 1, map[string]int{"small": 2}}, {1, 3, map[string]int{"small": 4}}}
 	if diff := cmp.Diff(want, c.reports); diff != "" {
@@ -102,11 +115,11 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			s, c := &store{loseResponse: tc.loseWrite}, &cloud{loseResponse: tc.loseReport}
-			first := accountant.New(options, s, c, counter{1: {"small": 2}}, hclog.NewNullLogger())
+			first := accountant.New(options, s, c, counter{1: {"small": 2}}, &witness{}, hclog.NewNullLogger())
 			if err := first.Act(12_100, 1, always); err != nil {
 				t.Log(err)
 			}
-			second := accountant.New(options, s, c, counter{1: {"small": 3}}, hclog.NewNullLogger())
+			second := accountant.New(options, s, c, counter{1: {"small": 3}}, &witness{}, hclog.NewNullLogger())
 			act(t, second, 12_300, 16_000, 2)
 			act(t, first, 12_300, 16_000, 1)
 			for _, r := range c.reports {
@@ -123,7 +136,7 @@
 
 func TestNoCallWithoutTheLease(t *testing.T) {
 	s, c := &store{}, &cloud{}
-	a := accountant.New(options, s, c, counter{1: {"small": 2}}, hclog.NewNullLogger())
+	a := accountant.New(options, s, c, counter{1: {"small": 2}}, &witness{}, hclog.NewNullLogger())
 	err := a.Act(12_100, 1, func() bool { return false })
 	if err == nil || s.version != 0 || len(c.reports) != 0 {
 		t.Errorf("acted without the lease: error %v, version %d, reports %v", err, s.version, c.reports)
@@ -133,7 +146,7 @@
 // After an outage of the store, late reports are skipped and the others are sent.
 func TestStoreUnavailable(t *testing.T) {
 	s, c := &store{down: true}, &cloud{}
-	a := accountant.New(options, s, c, counter{1: {"small": 2}, 2: {"small": 3}, 3: {"small": 4}}, hclog.NewNullLogger())
+	a := accountant.New(options, s, c, counter{1: {"small": 2}, 2: {"small": 3}, 3: {"small": 4}}, &witness{}, hclog.NewNullLogger())
 	act(t, a, 10_000, 21_000, 1)
 	s.down = false
 	act(t, a, 21_000, 24_000, 1)
@@ -142,3 +155,24 @@
 		t.Errorf("reports (-want +got):\n%s", diff)
 	}
 }
+
+// A window that was reported is reported again with the same counts, or not at all, after the store
+// came back from a copy that lacks its record.
+func TestReturnFromCopyKeepsCounts(t *testing.T) {
+	s, c, w := &store{}, &cloud{}, &witness{}
+	first := accountant.New(options, s, c, counter{1: {"small": 2}}, w, hclog.NewNullLogger())
+	if err := first.Act(2*options.Window+options.Settle, 1, always); err != nil {
+		t.Fatal(err)
+	}
+	s.value, s.version = nil, 0
+	second := accountant.New(options, s, c, counter{1: {"small": 3}, 2: {"small": 4}}, w, hclog.NewNullLogger())
+	for _, now := range []sequoiasill.Millis{2*options.Window + options.Settle, 3*options.Window + options.Settle} {
+		if err := second.Act(now, 66, always); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := []report{{1, 1, map[string]int{"small": 2}}, {66, 1, map[string]int{"small": 2}}, {66, 2, map[string]int{"small": 4}}}
+	if diff := cmp.Diff(want, c.reports); diff != "" {
+		t.Errorf("reports (-want +got):\n%s", diff)
+	}
+}
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -75,6 +75,13 @@
 	// unavailableTTL is how long an entry that reported the store as unavailable is excluded from
 	// the watchers.
 	unavailableTTL = 30 * sequoiasill.Second
+	// usageRecordTTL is how long the recorded usage of a window is gossiped. Its report is late
+	// well before that.
+	usageRecordTTL = 2 * sequoiasill.Minute
+	// joinTime is the time after the first other entry was discovered in which its facts arrive.
+	// discoveryTime is how long a starting entry waits for others.
+	joinTime      = 300 * sequoiasill.Millis(1)
+	discoveryTime = 1200 * sequoiasill.Millis(1)
 	// replicaTTL is how long a fact about an upstream is gossiped.
 	replicaTTL = 2 * sequoiasill.Minute
 	// pullTimeout is the timeout of one attempt to pull the configuration, from the store or
@@ -188,6 +195,10 @@
 	compressedVersion uint64
 
 	lastSumAt sequoiasill.Millis // when a total was last available
+
+	startedAt sequoiasill.Millis
+	joinedAt  sequoiasill.Millis // when another entry was first known, 0 before
+	caughtUp  bool
 }
 
 // receivedDemand is a demand, of an entry or in total, with the time of its arrival.
@@ -204,7 +215,7 @@
 	e := &Exchanger{
 		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, screener: h.Screener, clock: clock, log: log.Named("exchanger"),
 		client: &http.Client{Timeout: pullTimeout}, wake: make(chan struct{}, 1), stop: make(chan struct{}),
-		bootClock: boot, limits: newLimits(opts.Name, opts.Name+"/"+opts.Session, boot.Now(), seed),
+		startedAt: clock.Now(), bootClock: boot, limits: newLimits(opts.Name, opts.Name+"/"+opts.Session, boot.Now(), seed),
 		tallier: t, demands: make(map[string]receivedDemand), sums: make(map[string]receivedDemand), spent: make(map[string]float64),
 	}
 	self := gossiper.Member{
