Keep upstreams and removals across a return of the store from a copy

A copy lacks upstreams that registered since, and lists ones that have left. The first were removed at once, the second got calls again.

An entry that only heard of the removal remembers it too.

--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -106,9 +106,10 @@
 type state struct {
 	replica          sequoiasill.Replica
 	removed          bool
-	removeAt         sequoiasill.Millis // end of the grace period while missing after a store outage, else 0
-	removedAt        uint64             // store revision of the removal
-	drainingSince    sequoiasill.Millis // when it started draining or was removed
+	removeAt         sequoiasill.Millis   // end of the grace period while missing after a store outage, else 0
+	removedAt        uint64               // store version of the removal
+	restored         *sequoiasill.Replica // its record in a store that came back from a copy, nil if there is none
+	drainingSince    sequoiasill.Millis   // when it started draining or was removed
 	inFlight         int
 	prefill          int
 	load             Load
@@ -137,7 +138,7 @@
 // the same or a later revision is already known.
 func (r *Registrar) Announce(now sequoiasill.Millis, n sequoiasill.Replica) bool {
 	s, known := r.replicas[n.Name]
-	if known && s.replica.Revision >= n.Revision {
+	if known && (s.replica.Revision >= n.Revision || s.isRestoredRecord(n)) {
 		return false
 	}
 	if !known || n.StartedAt > s.replica.StartedAt || s.removed || n.Address != s.replica.Address {
@@ -162,6 +163,27 @@
 	return true
 }
 
+// isRestoredRecord reports whether a record of a removed upstream merely came back with a copy of the
+// store. Its incarnation stays removed until it is seen to write again.
+func (s *state) isRestoredRecord(n sequoiasill.Replica) bool {
+	sameIncarnation := n.StartedAt == s.replica.StartedAt || s.replica.StartedAt == unknownStart
+	if !s.removed || !sameIncarnation || sequoiasill.StoreEra(n.Revision) == sequoiasill.StoreEra(s.removedAt) {
+		return false
+	}
+	first := s.restored
+	if first == nil || sequoiasill.StoreEra(first.Revision) != sequoiasill.StoreEra(n.Revision) {
+		s.restored = &n
+		return true
+	}
+	if n.Sequence == 0 && first.Sequence == 0 {
+		return n.Revision <= first.Revision
+	}
+	return n.Sequence <= first.Sequence
+}
+
+// unknownStart is the start time of an upstream of which only the removal is known.
+const unknownStart = -1 * sequoiasill.Millis(1)
+
 // MarkDraining marks an incarnation of an upstream as draining after it announced its shutdown
 // in a response to this or another entry. It returns false if that was already known.
 func (r *Registrar) MarkDraining(now sequoiasill.Millis, name string, startedAt sequoiasill.Millis) bool {
@@ -233,10 +255,17 @@
 // Remove marks an upstream as removed after its store record was deleted. Shortly after
 // a store outage the record may merely have expired, so the upstream stays in use for
 // the grace period. Remove returns false if the upstream is unknown, if its removal is
-// already known, or if its record is newer than the removal.
+// already known, or if its record is newer than the removal. The removal of an unknown upstream
+// is remembered, as its record may come back with a copy of the store.
 func (r *Registrar) Remove(now sequoiasill.Millis, name string, revision uint64) bool {
 	s, known := r.replicas[name]
-	if !known || s.removed || s.removeAt > 0 || revision > 0 && s.replica.Revision > revision {
+	if !known {
+		r.replicas[name] = &state{
+			replica: sequoiasill.Replica{Name: name, Revision: revision, StartedAt: unknownStart}, removed: true, removedAt: revision, drainingSince: now, decayedAt: now,
+		}
+		return false
+	}
+	if s.removed || s.removeAt > 0 || revision > 0 && s.replica.Revision > revision {
 		return false
 	}
 	s.removedAt = revision
--- a/relay/exchanger/codec.go
+++ b/relay/exchanger/codec.go
@@ -59,6 +59,7 @@
 	Reclaimable bool   `cbor:"7,keyasint,omitempty"`
 	ShutdownIn  int64  `cbor:"8,keyasint,omitempty"`
 	StartedAt   int64  `cbor:"9,keyasint,omitempty"`
+	Sequence    uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 func encodeState(s State, now sequoiasill.Millis) ([]byte, error) {
@@ -147,7 +148,7 @@
 func encodeReplica(r sequoiasill.Replica) ([]byte, error) {
 	b, err := cbor.Marshal(wireReplica{
 		Service: r.Service, Address: r.Address, Zone: r.Zone, Version: r.Version, Slots: r.Slots, Draining: r.Draining,
-		Reclaimable: r.Reclaimable, ShutdownIn: int64(r.ShutdownIn), StartedAt: int64(r.StartedAt),
+		Reclaimable: r.Reclaimable, ShutdownIn: int64(r.ShutdownIn), StartedAt: int64(r.StartedAt), Sequence: r.Sequence,
 	})
 	return b, errors.Annotate(err, "encode replica")
 }
@@ -160,6 +161,6 @@
 	return sequoiasill.Replica{
 		Name: name, Service: w.Service, Address: w.Address, Zone: w.Zone, Version: w.Version, Slots: w.Slots,
 		Draining: w.Draining, Reclaimable: w.Reclaimable, ShutdownIn: sequoiasill.Millis(w.ShutdownIn),
-		StartedAt: sequoiasill.Millis(w.StartedAt), Revision: revision,
+		StartedAt: sequoiasill.Millis(w.StartedAt), Revision: revision, Sequence: w.Sequence,
 	}, nil
 }
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -74,6 +74,9 @@
 	m.count(fmt.Sprintf(`sequoia_limit_permits_total{end=%q}`, end))
 }
 
+// StoreRestored counts that the store came back from a copy.
+func (m *Meter) StoreRestored() { m.count("sequoia_store_restores_total") }
+
 // CrashCharged counts a call that is charged with the crash of its upstream.
 func (m *Meter) CrashCharged() { m.count("sequoia_crashes_charged_total") }
 
--- a/replica.go
+++ b/replica.go
@@ -13,7 +13,8 @@
 	Reclaimable bool
 	ShutdownIn  Millis // time until shutdown, counted from the announcement; 0 if not announced
 	StartedAt   Millis // start time, which distinguishes restarts under the same name
-	Revision    uint64 // store revision of the announcement
+	Revision    uint64 // store version of the announcement
+	Sequence    uint64 // rises with each write of the replica, 0 if unknown
 }
 
 // Rollout is an operator's order to move a service to another version.
@@ -21,7 +22,7 @@
 	Service  string
 	Target   string
 	Duration Millis
-	Revision uint64
+	Revision uint64  // store version
 	State    MoveEnd // state in the store
 	Recorded bool    // a state has been recorded in the store
 }
