Be ready only with the newest configuration that other entries know

After a return from a copy the store may hold an older configuration until the operator writes it again. An entry that started then served with it, and with keys that had been withdrawn.

--- a/relay/exchanger/config.go
+++ b/relay/exchanger/config.go
@@ -58,6 +58,23 @@
 	return e.compressed, nil
 }
 
+// CaughtUp reports whether this entry has had the time to hear of a newer configuration from the
+// others, and has applied it. The store may lack it after it came back from a copy. Once true, it
+// stays so.
+func (e *Exchanger) CaughtUp() bool {
+	_, current := e.configs.Current()
+	entries := e.Entries()
+	now := e.clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.joinedAt == 0 && entries > 1 {
+		e.joinedAt = now
+	}
+	heard := e.joinedAt > 0 && now-e.joinedAt >= joinTime || now-e.startedAt >= discoveryTime
+	e.caughtUp = e.caughtUp || heard && current >= e.targetVersion
+	return e.caughtUp
+}
+
 // pull fetches the newest configuration version announced by gossip, unless this entry
 // already has it. It tries the store first, whose link is fast enough for all entries at
 // once, which that of a single entry is not. Other entries are the fallback when the
