--- a/control/quarantinekeeper/quarantinekeeper.go
+++ b/control/quarantinekeeper/quarantinekeeper.go
@@ -54,6 +54,7 @@
 
 	startAt sequoiasill.Millis // time of the first step, or of the next one after a failure
 	loaded  bool
+	era     uint64 // of the store when the record was loaded
 	version uint64
 	stored  []partblamer.Signature
 }
@@ -89,6 +90,7 @@
 
 // step loads the stored quarantines, or stores the current ones if they changed.
 func (k *Keeper) step() {
+	k.checkEra()
 	rank := k.ranker.Rank()
 	if rank < 0 {
 		// Another collector may change the record before this entry is one again.
@@ -112,6 +114,13 @@
 	}
 }
 
+// checkEra makes the keeper load the record again if the store came back from a copy.
+func (k *Keeper) checkEra() {
+	if s, ok := k.store.(leaseholder.EraStore); ok && s.Era() != k.era {
+		k.era, k.loaded = s.Era(), false
+	}
+}
+
 func (k *Keeper) load() error {
 	value, version, err := k.store.Read(recordName)
 	if err != nil {
