Soak: the store comes back from a copy

It is drawn alone, in series and beside all other faults; the checks of duties, revoked keys, left replicas and executions judge it.

--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -78,6 +78,7 @@
 			h.store.SetFaults(store.Faults{})
 		})
 	}},
+	{restoreStoreFault, false, (*Harness).restoreStore},
 	{"cut an entry from the store", false, func(h *Harness, duration time.Duration) {
 		h.withRandomEntry(func(e *entry) {
 			e.store.setFault(blackhole)
@@ -221,7 +222,7 @@
 	address := r.address()
 	r.close()
 	time.Sleep(duration)
-	h.store.Delete("servers", r.id)
+	h.deregister(r)
 	if err := h.addReplica(r.service, address); err != nil {
 		h.checker.addViolation("replica not started: %v", err)
 	}
@@ -302,7 +303,7 @@
 		h.unregister(r)
 		r.draining.Store(true)
 		time.Sleep(replicaDrainTime)
-		h.store.Delete("servers", r.id)
+		h.deregister(r)
 		time.Sleep(replicaDrainTime / 2)
 		r.close()
 	})
@@ -324,7 +325,7 @@
 		h.store.Put("servers", r.id, r.storeRecord())
 		h.checker.recordDraining(r.id)
 		time.Sleep(replicaDrainTime)
-		h.store.Delete("servers", r.id)
+		h.deregister(r)
 		r.close()
 	})
 }
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -34,8 +34,9 @@
 	extraLatencyMillis atomic.Int64 // added to the latency of each call
 	limitPer1000s      atomic.Int64 // rate limit across all entries in calls per 1000 seconds; 0 for none
 
-	mu    sync.Mutex
-	state string
+	mu       sync.Mutex
+	state    string
+	sequence int // of its writes to the store
 }
 
 // maxCallsInFlight is the number of calls that a replica executes concurrently. It rejects
@@ -84,8 +85,9 @@
 func (r *replica) storeRecord() any {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.sequence++
 	return map[string]any{
-		"service": r.service, "address": r.address(), "zone": "a", "version": "v1", "slots": maxCallsInFlight, "state": r.state, "sequence": 1,
+		"service": r.service, "address": r.address(), "zone": "a", "version": "v1", "slots": maxCallsInFlight, "state": r.state, "sequence": r.sequence,
 	}
 }
 
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -74,6 +74,8 @@
 	replicas        map[string]*replica
 	replicasCreated int
 	configVersion   int
+	config          any                 // as the operator last wrote it
+	registered      map[string]*replica // whose records the store holds, by ID
 	apiKeys         []string
 	lastNumber      int             // of API keys and of requests that crash replicas
 	deadlyPart      string          // ID of the part of prompts that crashes replicas; empty for none
@@ -88,7 +90,7 @@
 func Run(o Options) ([]string, Counts, error) {
 	h := &Harness{
 		opts: o, checker: newChecker(o.RetryLimits), rand: rand.New(rand.NewPCG(o.Seed, 1)),
-		replicas: make(map[string]*replica), apiKeys: []string{"key-0"}, ready: make(map[int]bool), inUse: make(map[string]bool),
+		replicas: make(map[string]*replica), registered: make(map[string]*replica), apiKeys: []string{"key-0"}, ready: make(map[int]bool), inUse: make(map[string]bool),
 	}
 	reservation, err := h.reserveNetwork()
 	if err != nil {
@@ -107,6 +109,7 @@
 	}
 	h.store = store.New(l, o.Seed, hclog.NewNullLogger())
 	h.store.SetFenced(o.fenced())
+	h.store.SetEra(1)
 	defer h.store.Close()
 	h.writeConfig()
 	for service, n := range map[string]int{plainService: o.Replicas, streamService: o.Engines} {
@@ -260,13 +263,14 @@
 			"targetLatencyMs": 200, "service": k.service(), "maxAttempts": k.maxUpstreams(),
 		})
 	}
-	h.store.Put("config", "main", map[string]any{
+	h.config = map[string]any{
 		"version": h.configVersion, "routes": routes, "services": []any{
 			map[string]any{"name": plainService, "healthPath": "/healthz"}, map[string]any{"name": streamService, "healthPath": "/healthz"},
 		},
 		"limits":  map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "small", "apiKeys": h.apiKeys}},
-	})
+	}
+	h.store.Put("config", "main", h.config)
 }
 
 // addReplica starts a replica of a service. The address is that of an earlier replica, or
@@ -280,11 +284,19 @@
 		return err
 	}
 	r.omittedSignal = h.opts.OmittedSignal
-	h.replicas[r.id] = r
+	h.replicas[r.id], h.registered[r.id] = r, r
 	h.store.Put("servers", r.id, r.storeRecord())
 	return nil
 }
 
+// deregister deletes a replica's record from the store.
+func (h *Harness) deregister(r *replica) {
+	h.mu.Lock()
+	delete(h.registered, r.id)
+	h.mu.Unlock()
+	h.store.Delete("servers", r.id)
+}
+
 // checkDuties checks the usage reports that the platform received: one count per window, one
 // lease holder per epoch, and no overlap between holders.
 func (h *Harness) checkDuties() {
--- a/standin/soaker/storms.go
+++ b/standin/soaker/storms.go
@@ -48,6 +48,7 @@
 		}
 	}},
 	{killAllFault, false, (*Harness).killAllEntries},
+	{restoreStoreFault, false, (*Harness).restoreStore},
 	{"pause some entries", false, (*Harness).pauseSomeEntries},
 	{"kill some entries", false, (*Harness).killSomeEntries},
 	{"stop an entry", true, func(h *Harness, _ time.Duration) {
