--- a/control/quarantinekeeper/quarantinekeeper_test.go
+++ b/control/quarantinekeeper/quarantinekeeper_test.go
@@ -21,6 +21,7 @@
 	value   []byte
 	version uint64
 	away    bool
+	era     uint64
 	loses   int // responses to writes that are lost
 	writes  int
 	reads   int
@@ -54,6 +55,12 @@
 	return s.version, nil
 }
 
+func (s *fakeStore) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 func (s *fakeStore) content() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -165,6 +172,19 @@
 	}
 }
 
+// A record that was lost because the store came back from a copy is written again.
+func TestQuarantineIsStoredAgainAfterReturnFromCopy(t *testing.T) {
+	s, e := &fakeStore{}, newEntry(0)
+	k := start(t, s, e)
+	defer k.Close()
+	e.quarantine(2)
+	await(t, "stored", `{"parts":[["2"]]}`, s.content)
+	s.mu.Lock()
+	s.value, s.version, s.era = nil, 0, 1
+	s.mu.Unlock()
+	await(t, "stored again", `{"parts":[["2"]]}`, s.content)
+}
+
 // Without quarantines a collector reads the store once, and entries that are no collectors never.
 func TestStoreIsReadOnceWithoutQuarantines(t *testing.T) {
 	for name, tc := range map[string]struct{ rank, reads int }{"first collector": {0, 1}, "another": {2, 1}, "no collector": {-1, 0}} {
