--- a/standin/store/copies.go
+++ b/standin/store/copies.go
@@ -38,9 +38,15 @@
 	s.copies = append(s.copies, c)
 }
 
+// Restored is the content of the store after it came back from a copy.
+type Restored struct {
+	Era     uint64
+	Objects map[string]map[string]Object // by kind and name
+}
+
 // RestoreCopy replaces the objects by a copy that is about as old as given: what was written since
-// is gone, and its revisions are given out again. It returns the new era.
-func (s *Store) RestoreCopy(age time.Duration) uint64 {
+// is gone, and its revisions are given out again.
+func (s *Store) RestoreCopy(age time.Duration) Restored {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.copies) == 0 {
@@ -61,7 +67,7 @@
 	s.setEraHeader()
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.era
+	return Restored{Era: s.era, Objects: c.objects}
 }
 
 // eraWriter adds the store's era to a response, as of the time at which it is written.
