--- a/decide/partblamer/partblamer_test.go
+++ b/decide/partblamer/partblamer_test.go
@@ -46,8 +46,6 @@
 
 func (c *collector) serve(parts ...partblamer.Part) { c.RecordServed(c.now, parts) }
 
-func (c *collector) refuses(parts ...partblamer.Part) bool { return c.Screen(c.now, parts).Refused }
-
 func prompt(parts ...partblamer.Part) []partblamer.Part { return parts }
 
 func TestPartIsQuarantined(t *testing.T) {
--- a/relay/screener/screener.go
+++ b/relay/screener/screener.go
@@ -42,6 +42,10 @@
 	s.mu.Lock()
 	f(s.blamer, s.clock.Now())
 	s.mu.Unlock()
+	s.notify()
+}
+
+func (s *Screener) notify() {
 	select {
 	case s.changed <- struct{}{}:
 	default:
@@ -83,7 +87,7 @@
 	due := s.blamer.ReportIsDue()
 	s.mu.Unlock()
 	if due {
-		s.update(func(*partblamer.Blamer, sequoiasill.Millis) {})
+		s.notify()
 	}
 }
 
