--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -233,23 +233,32 @@
 
 func newLoggingDispatcher(t *testing.T, c *fakeTransport, u *fakePeers, log hclog.Logger) *dispatcher.Dispatcher {
 	t.Helper()
+	return newDispatcherWith(c, u, filledBudget(), log)
+}
+
+// filledBudget returns a retry budget that calls have filled.
+func filledBudget() *rationer.Rationer {
 	budget := rationer.New(rationer.Limits{Ratio: 1, Slack: 100, Window: 1000}, 1)
 	for range 10 {
 		budget.Call(sequoiasill.NewSystemClock().Now(), "plain")
 	}
-	return newDispatcherWith(c, u, budget, log)
+	return budget
 }
 
 // newDispatcherWith returns a dispatcher with three ready upstreams.
 func newDispatcherWith(c dispatcher.Transport, u *fakePeers, budget *rationer.Rationer, log hclog.Logger) *dispatcher.Dispatcher {
+	screen := screener.New(partblamer.New(partblamer.DefaultOptions()), sequoiasill.NewSystemClock(), meter.New(), log)
+	return newScreeningDispatcher(c, u, screen, budget, log)
+}
+
+// newScreeningDispatcher returns one that screens calls.
+func newScreeningDispatcher(c dispatcher.Transport, u *fakePeers, screen dispatcher.Screener, budget *rationer.Rationer, log hclog.Logger) *dispatcher.Dispatcher {
 	clock := sequoiasill.NewSystemClock()
 	r := registrar.New(registrar.DefaultOptions(), 1)
 	for i := range 3 {
 		r.Announce(clock.Now(), sequoiasill.Replica{Name: fmt.Sprintf("r%d", i), Service: "plain", Address: "10.0.0.1:1", Slots: 4, Revision: 1})
 	}
-	metrics := meter.New()
-	screen := screener.New(partblamer.New(partblamer.DefaultOptions()), clock, metrics, log)
-	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, u, screen, metrics, dispatcher.StateMachines{
+	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, u, screen, meter.New(), dispatcher.StateMachines{
 		Registrar: r, Assigner: assigner.New(assigner.DefaultOptions(), 1), Allotter: allotter.New(allotter.Limits{Window: 1000}, 1, true),
 		Rationer: budget, Blamer: blamer.New(blamer.DefaultOptions()),
 	}, clock, log)
