Soak: connections whose data was dropped end by reset

Trace: all three came without framing while the proxy dropped the data of their connections ('silence a replica', 'cut the answers of a service'); the proxy then closed the connection regularly, which no peer can tell from the end of a response without framing, and which no network does. The users' page says that one that is reset on the way isn't complete. The proxy now resets such a connection; what is checked is unchanged.

--- a/standin/soaker/proxy.go
+++ b/standin/soaker/proxy.go
@@ -1,7 +1,6 @@
 package soaker
 
 import (
-	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -108,15 +107,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			// With linger 0 the close sends a reset. An error means that the connection
-			// is closed already.
-			_ = tcp.SetLinger(0)
-		}
+		resetOnClose(c)
 		_ = c.Close()
 	}
 }
 
+// resetOnClose makes the close of a connection send a reset.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 func (p *proxy) track(c net.Conn, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -150,7 +153,7 @@
 
 // relay copies data as the active fault permits and calls onDrop when it drops some. A
 // blackholed connection stays blackholed after the fault has ended.
-func (p *proxy) relay(dst io.Writer, src io.Reader, onDrop func(), responses bool) {
+func (p *proxy) relay(dst, src net.Conn, onDrop func(), responses bool) {
 	buf := make([]byte, 16<<10)
 	blackholed := false
 	for {
@@ -162,6 +165,8 @@
 		}
 		if n > 0 && blackholed {
 			onDrop()
+			// A peer that misses data must not see a regular end.
+			resetOnClose(dst)
 		}
 		if n > 0 && !blackholed {
 			if _, writeErr := dst.Write(buf[:n]); writeErr != nil {
