Give each scenario a loopback address of its own

The same cause as TestGracefulStop had: ports that were found unused are closed, and the program that listens there starts later, so another process can take one. What the scenarios check is unchanged; TestScenarios passes.

--- a/cmd/scenarios/scenarios_test.go
+++ b/cmd/scenarios/scenarios_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,12 +54,23 @@
 	})
 }
 
+// portGroups counts the groups of addresses that this process handed out.
+var portGroups atomic.Int64
+
+// ownLoopbackIP returns a loopback address that nobody else uses. A program listens later on ports
+// that were found unused, which another process could take in the meantime on a shared address.
+func ownLoopbackIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 200+pid/250%50, pid%250, 1+portGroups.Add(1)%250)
+}
+
 // setFreePorts sets each environment variable to an unused loopback address:
 // freeport VARIABLE...
 func setFreePorts(ts *testscript.TestScript, _ bool, args []string) {
 	var open []net.Listener
+	ip := ownLoopbackIP()
 	for _, name := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		ts.Check(err)
 		open = append(open, l)
 		ts.Setenv(name, l.Addr().String())
