Follow the paths to the upstreams of each service

An entry that is partitioned from all upstreams has a backoff for each of them, and nothing tells that none is reached, nor since when. A failed connect, a broken connection or 400 ms of silence now puts the paths to a service in doubt; connections to four of its upstreams settle it. Changes are logged and counted and decide nothing yet.

--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -444,6 +444,17 @@
 	return c
 }
 
+// Probeable returns the upstreams of a service to which a connection may be opened as a probe.
+func (r *Registrar) Probeable(now sequoiasill.Millis, service string) []sequoiasill.Replica {
+	var out []sequoiasill.Replica
+	for _, s := range r.replicas {
+		if s.replica.Service == service && !s.removed && !s.replica.Draining && s.pausedUntil <= now {
+			out = append(out, s.replica)
+		}
+	}
+	return out
+}
+
 // Listed returns all upstreams that are not removed, sorted by name.
 func (r *Registrar) Listed() []sequoiasill.Replica {
 	var out []sequoiasill.Replica
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -240,6 +240,8 @@
 	// MaySend is called immediately before the first byte is written, unless it is nil. If it
 	// returns false, nothing is sent and the error wraps ErrWithheld.
 	MaySend func() bool
+	// Connected is called when a new connection was opened, unless it is nil.
+	Connected func()
 }
 
 // ErrWithheld is the cause of an Error if MaySend returned false.
@@ -317,15 +319,35 @@
 			return k, true, nil
 		}
 	}
-	n, err := c.dialer.DialContext(ctx, "tcp", r.Address)
-	if err != nil {
+	if k, err = c.dial(ctx, r.Address); err != nil {
 		return nil, false, err
 	}
+	if r.Connected != nil {
+		r.Connected()
+	}
+	return k, false, nil
+}
+
+func (c *Connector) dial(ctx context.Context, address string) (*conn, error) {
+	n, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
 	bounded := &boundedReader{source: n}
-	return &conn{net: n, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize)}, false, nil
+	return &conn{net: n, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize)}, nil
+}
+
+// Open opens a connection to an upstream and keeps it for a later request.
+func (c *Connector) Open(ctx context.Context, upstream, address string) error {
+	k, err := c.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.put(upstream, k, c.opts.IdleTimeout)
+	return nil
 }
 
 // readResponseHeader reads interim responses and the header of the final response.
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -63,6 +63,7 @@
 	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, started: d.clock.Now(), arrivalsBefore: j.arrivals, permit: p.permit, cancel: cancel}
 	a := Attempt{
 		Call: j.call, Replica: choice.Replica, Remaining: j.deadline - t.started, Priority: j.enginePriority(), ResumeAfter: j.lastEvent, MaySend: t.maySend,
+		Connected: func() { d.paths.Connected(j.service) },
 	}
 	if j.account != nil {
 		a.Organisation = j.account.Name
@@ -70,6 +71,9 @@
 	timer := newAttemptTimer(t)
 	defer timer.stop()
 	response, err := d.transport.Send(attemptCtx, a)
+	if t.maybeSent {
+		d.paths.RequestEnded(j.service)
+	}
 	if err != nil {
 		timer.stop()
 		e := classifySendError(attemptCtx, err, t.withheld)
@@ -77,6 +81,7 @@
 		d.recordSendEnd(p.send, classifier.Classify(e).Send)
 		return t.handleSendError(e, err, context.Cause(attemptCtx))
 	}
+	d.paths.Responded(j.service)
 	t.settleSend(classifier.Succeeded, response.Limit)
 	d.recordSendEnd(p.send, rationer.Answered)
 	return t.handleResponse(attemptCtx, response, timer)
@@ -119,6 +124,7 @@
 	t.withheld = !t.d.registrar.MaySend(t.d.clock.Now(), t.choice.Replica, t.permit != nil)
 	if !t.withheld {
 		t.markSent()
+		t.d.paths.RequestSent(t.service)
 	}
 	return !t.withheld
 }
@@ -159,6 +165,9 @@
 // whether the call may be retried.
 func (t *try) conclude(e classifier.End, result, reason string, args ...any) (nextStep, string) {
 	a := classifier.Classify(e)
+	if t.brokePath(e) {
+		t.d.paths.Failed(t.service)
+	}
 	if a.ChargeCrash {
 		t.recordCrash()
 	}
@@ -169,6 +178,21 @@
 	return stop, reason
 }
 
+// slowConnect is the duration from which a connect that was given up counts as failed. A connect
+// takes a few milliseconds.
+const slowConnect = 150 * sequoiasill.Millis(1)
+
+// brokePath reports whether the end of the attempt may be due to the path to the upstream.
+func (t *try) brokePath(e classifier.End) bool {
+	switch e.Kind {
+	case classifier.NotSent:
+		return !e.EndedHere || t.d.clock.Now()-t.started >= slowConnect
+	case classifier.NoResponse, classifier.ConnectionClosed, classifier.Truncated, classifier.EmptyStream:
+		return !e.EndedHere
+	}
+	return false
+}
+
 // handleSendError concludes an attempt without a response.
 func (t *try) handleSendError(e classifier.End, err, cause error) (nextStep, string) {
 	switch e.Kind {
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/partblamer"
+	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/decide/throttler"
@@ -35,6 +36,8 @@
 	// MaySend is called immediately before the first byte is written. If it returns false,
 	// nothing is sent.
 	MaySend func() bool
+	// Connected is called when a new connection was opened for the attempt.
+	Connected func()
 }
 
 // Response is the response of an upstream: its header and a reader for its body. Close must be
@@ -113,6 +116,20 @@
 	RecordServed(parts []partblamer.Part)
 }
 
+// Paths watches the paths of this entry to the upstreams of each service.
+type Paths interface {
+	State(service string) pathmonitor.State
+	// RequestSent records that a request was sent, and RequestEnded that it got a response or that
+	// none is awaited any more.
+	RequestSent(service string)
+	RequestEnded(service string)
+	// Responded records a response on an open connection, and Connected a new connection.
+	Responded(service string)
+	Connected(service string)
+	// Failed records a connect that failed, or a connection that ended without a response.
+	Failed(service string)
+}
+
 // Moves assigns calls to the old or the new version of a service during a move.
 type Moves interface {
 	// Target returns the version that a service is being moved to, or was moved to by its last
@@ -187,6 +204,7 @@
 	peers         Peers
 	moves         Moves
 	screener      Screener
+	paths         Paths
 	meter         Meter
 	clock         sequoiasill.Clock
 	log           hclog.Logger
@@ -207,9 +225,9 @@
 
 // New returns a dispatcher without traffic rules, which refuses calls until SetTraffic
 // provides them.
-func New(opts Options, transport Transport, peers Peers, moves Moves, screener Screener, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
+func New(opts Options, transport Transport, peers Peers, moves Moves, screener Screener, paths Paths, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
 	return &Dispatcher{
-		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, meter: meter, clock: clock, log: log.Named("dispatcher"),
+		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, paths: paths, meter: meter, clock: clock, log: log.Named("dispatcher"),
 		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad),
 	}
 }
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -19,6 +19,7 @@
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/partblamer"
+	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/decide/throttler"
@@ -198,6 +199,14 @@
 	u.permitUses = append(u.permitUses, fmt.Sprintf("%d arrived %t limit %t", p.Call.ID, e == throttler.Arrived, l.FromUpstream))
 }
 
+// State tells that all services are reachable.
+func (u *fakePeers) State(string) pathmonitor.State { return pathmonitor.Reachable }
+func (u *fakePeers) RequestSent(string)             {}
+func (u *fakePeers) RequestEnded(string)            {}
+func (u *fakePeers) Responded(string)               {}
+func (u *fakePeers) Connected(string)               {}
+func (u *fakePeers) Failed(string)                  {}
+
 func (u *fakePeers) CountUsage(organisation string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -258,7 +267,7 @@
 	for i := range 3 {
 		r.Announce(clock.Now(), sequoiasill.Replica{Name: fmt.Sprintf("r%d", i), Service: "plain", Address: "10.0.0.1:1", Slots: 4, Revision: 1})
 	}
-	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, u, screen, meter.New(), dispatcher.StateMachines{
+	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, u, screen, u, meter.New(), dispatcher.StateMachines{
 		Registrar: r, Assigner: assigner.New(assigner.DefaultOptions(), 1), Allotter: allotter.New(allotter.Limits{Window: 1000}, 1, true),
 		Rationer: budget, Blamer: blamer.New(blamer.DefaultOptions()),
 	}, clock, log)
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -86,6 +86,16 @@
 	m.count(fmt.Sprintf(`sequoia_part_quarantines_total{lifted="%t",source=%q}`, lifted, source))
 }
 
+// PathChanged counts a change of the paths to a service, by the state that it enters.
+func (m *Meter) PathChanged(state string) {
+	m.count(fmt.Sprintf(`sequoia_path_changes_total{state=%q}`, state))
+}
+
+// PathProbed counts a probe of a path to an upstream by whether it connected.
+func (m *Meter) PathProbed(connected bool) {
+	m.count(fmt.Sprintf(`sequoia_path_probes_total{connected="%t"}`, connected))
+}
+
 // CountCall counts a call to the platform by operation and outcome.
 func (m *Meter) CountCall(op, end string) {
 	m.count(fmt.Sprintf(`sequoia_platform_calls_total{op=%q,end=%q}`, op, end))
--- /dev/null
+++ b/relay/prober/prober.go
@@ -0,0 +1,186 @@
+// Package prober watches the paths of this entry to the upstreams of each service and probes them
+// when they are in doubt. It drives the state machine of package pathmonitor.
+package prober
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
+)
+
+// Connector opens connections to upstreams, which later requests use.
+type Connector interface {
+	// Open opens a connection to an upstream and keeps it for a later request.
+	Open(ctx context.Context, upstream, address string) error
+}
+
+// Upstreams returns the upstreams of a service that may be probed.
+type Upstreams func(service string) []sequoiasill.Replica
+
+// Meter counts probes and changes of paths.
+type Meter interface {
+	// PathChanged counts a change of the paths to a service, by the state that it enters.
+	PathChanged(state string)
+	// PathProbed counts a probe by whether it connected.
+	PathProbed(connected bool)
+}
+
+const (
+	tickInterval = 50 * time.Millisecond
+	// probeTimeout bounds the connect of a probe. It is much longer than a round trip between
+	// zones, and leaves time to serve the call of which the failure raised the doubt.
+	probeTimeout = 400 * time.Millisecond
+)
+
+// Prober watches paths until Close. It is safe for concurrent use.
+type Prober struct {
+	connector Connector
+	upstreams Upstreams
+	clock     sequoiasill.Clock
+	meter     Meter
+	log       hclog.Logger
+	stop      chan struct{}
+	once      sync.Once
+
+	mu        sync.Mutex
+	monitor   *pathmonitor.Monitor
+	listeners []func(pathmonitor.Transition)
+}
+
+// New returns a Prober that decides with m.
+func New(m *pathmonitor.Monitor, connector Connector, upstreams Upstreams, meter Meter, clock sequoiasill.Clock, log hclog.Logger) *Prober {
+	p := &Prober{connector: connector, upstreams: upstreams, clock: clock, meter: meter, log: log.Named("paths"), stop: make(chan struct{}), monitor: m}
+	go func() {
+		tick := time.NewTicker(tickInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-p.stop:
+				return
+			case <-tick.C:
+				p.tick()
+			}
+		}
+	}()
+	return p
+}
+
+// Close stops the probes.
+func (p *Prober) Close() { p.once.Do(func() { close(p.stop) }) }
+
+// Observe calls f after each change of the paths to a service.
+func (p *Prober) Observe(f func(pathmonitor.Transition)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listeners = append(p.listeners, f)
+}
+
+// State returns the state of the paths to a service.
+func (p *Prober) State(service string) pathmonitor.State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.monitor.State(service)
+}
+
+// Unreachable returns the names of the services that this entry does not reach, sorted.
+func (p *Prober) Unreachable() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.monitor.Unreachable()
+}
+
+// RequestSent records that a request was sent to an upstream of a service. RequestEnded must
+// follow.
+func (p *Prober) RequestSent(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.monitor.RequestSent(p.clock.Now(), service)
+}
+
+// RequestEnded records that a request got a response, or that its response is no longer awaited.
+func (p *Prober) RequestEnded(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.monitor.RequestEnded(service)
+}
+
+// Responded records data from an upstream on an open connection.
+func (p *Prober) Responded(service string) { p.update(service, (*pathmonitor.Monitor).Responded) }
+
+// Connected records a new connection to an upstream.
+func (p *Prober) Connected(service string) { p.update(service, (*pathmonitor.Monitor).Connected) }
+
+// Failed records that a connect to an upstream failed, or that the upstream closed a connection
+// without a response.
+func (p *Prober) Failed(service string) { p.update(service, (*pathmonitor.Monitor).Failed) }
+
+func (p *Prober) update(service string, f func(*pathmonitor.Monitor, sequoiasill.Millis, string) *pathmonitor.Transition) {
+	p.mu.Lock()
+	t := f(p.monitor, p.clock.Now(), service)
+	p.mu.Unlock()
+	if t != nil {
+		p.report(*t)
+	}
+}
+
+// tick starts the probes that are due. The upstreams are read beforehand, as the dispatcher calls
+// the prober while it holds the lock that guards them.
+func (p *Prober) tick() {
+	p.mu.Lock()
+	services := p.monitor.Services()
+	p.mu.Unlock()
+	addresses := make(map[string]string)
+	names := make(map[string][]string)
+	for _, service := range services {
+		for _, r := range p.upstreams(service) {
+			addresses[r.Name] = r.Address
+			names[service] = append(names[service], r.Name)
+		}
+	}
+	p.mu.Lock()
+	probes, changes := p.monitor.Tick(p.clock.Now(), func(service string) []string { return names[service] })
+	p.mu.Unlock()
+	for _, t := range changes {
+		p.report(t)
+	}
+	for _, probe := range probes {
+		go p.probe(probe, addresses[probe.Upstream])
+	}
+}
+
+func (p *Prober) probe(probe pathmonitor.Probe, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	err := p.connector.Open(ctx, probe.Upstream, address)
+	p.meter.PathProbed(err == nil)
+	p.log.Debug("probe", "service", probe.Service, "upstream", probe.Upstream, "error", err)
+	p.mu.Lock()
+	t := p.monitor.ProbeEnded(p.clock.Now(), probe, err == nil)
+	p.mu.Unlock()
+	if t != nil {
+		p.report(*t)
+	}
+}
+
+// report logs a change and tells the listeners.
+func (p *Prober) report(t pathmonitor.Transition) {
+	p.meter.PathChanged(t.To.String())
+	now := p.clock.Now()
+	args := []any{"service", t.Service, "from", t.From.String(), "to", t.To.String(), "lastContact", now - t.LastContact}
+	if t.To == pathmonitor.Unreachable || t.From == pathmonitor.Unreachable {
+		p.log.Warn("paths to upstreams changed", args...)
+	} else {
+		p.log.Info("paths to upstreams changed", args...)
+	}
+	p.mu.Lock()
+	listeners := p.listeners
+	p.mu.Unlock()
+	for _, f := range listeners {
+		f(t)
+	}
+}
