Probe paths by a request on a new connection

A probe now asks for the health check and counts any response; a response to a call counts if its connection was opened after the doubt.

--- a/decide/pathmonitor/pathmonitor.go
+++ b/decide/pathmonitor/pathmonitor.go
@@ -3,8 +3,8 @@
 // that a fault of the entry's own network is not taken for faults of the upstreams.
 //
 // A failed connect, a broken connection or silence puts the paths to a service in doubt. A sample
-// of its upstreams is then probed by opening connections: one that succeeds settles the doubt, and
-// if all fail, the service is unreachable from this entry until a later probe succeeds.
+// of its upstreams is then probed over new connections: an answer settles the doubt, and if none is
+// answered, the service is unreachable from this entry until a later probe is.
 //
 // A Monitor is a state machine without I/O.
 package pathmonitor
@@ -38,8 +38,8 @@
 // The states.
 const (
 	Reachable   State = iota
-	InDoubt           // a failure has not been followed by a successful connect yet
-	Unreachable       // connections to all probed upstreams failed
+	InDoubt           // a failure has not been followed by a response on a new connection yet
+	Unreachable       // no probed upstream answered
 )
 
 // String returns the name of the state in logs.
@@ -65,7 +65,7 @@
 	state State
 	// since is the start of the state.
 	since sequoiasill.Millis
-	// lastContact is the time of the last response or successful connect.
+	// lastContact is the time of the last response.
 	lastContact sequoiasill.Millis
 	// silenceOnly reports that the doubt is due to silence, which any response settles.
 	silenceOnly bool
@@ -163,31 +163,21 @@
 	s.waiting = max(s.waiting-1, 0)
 }
 
-// Responded records data from an upstream on an open connection. New connections may fail all the
-// same.
-func (m *Monitor) Responded(now sequoiasill.Millis, name string) *Transition {
+// Responded records a response. openedAt is the earliest time at which its connection may have been
+// opened, 0 if it was open before the request: new connections may fail while open ones live on.
+func (m *Monitor) Responded(now sequoiasill.Millis, name string, openedAt sequoiasill.Millis) *Transition {
 	s := m.service(name)
 	before := s.lastContact
 	s.lastContact = now
-	if s.state == InDoubt && s.silenceOnly {
-		return s.enter(now, name, Reachable, before)
-	}
-	return nil
-}
-
-// Connected records a new connection to an upstream.
-func (m *Monitor) Connected(now sequoiasill.Millis, name string) *Transition {
-	s := m.service(name)
-	before := s.lastContact
-	s.lastContact = now
-	if s.state == Reachable {
+	settled := s.state == InDoubt && s.silenceOnly || openedAt > 0 && openedAt >= s.since
+	if s.state == Reachable || !settled {
 		return nil
 	}
 	return s.enter(now, name, Reachable, before)
 }
 
-// Failed records that a connect to an upstream failed, or that the upstream closed a connection
-// without a response.
+// Failed records that a connect to an upstream failed, or that a connection ended without a
+// response.
 func (m *Monitor) Failed(now sequoiasill.Millis, name string) *Transition {
 	s := m.service(name)
 	s.silenceOnly = false
@@ -210,11 +200,11 @@
 }
 
 // ProbeEnded records the result of a probe.
-func (m *Monitor) ProbeEnded(now sequoiasill.Millis, p Probe, connected bool) *Transition {
-	if connected {
-		return m.Connected(now, p.Service)
-	}
+func (m *Monitor) ProbeEnded(now sequoiasill.Millis, p Probe, answered bool) *Transition {
 	s := m.service(p.Service)
+	if answered {
+		return m.Responded(now, p.Service, s.since)
+	}
 	if p.Round != s.round || s.pending == 0 {
 		return nil
 	}
--- a/decide/pathmonitor/pathmonitor_test.go
+++ b/decide/pathmonitor/pathmonitor_test.go
@@ -63,20 +63,20 @@
 		"silence that a response ends": {nil, func(h *harness) {
 			h.RequestSent(1000, service)
 			h.run(1000, 1400)
-			h.Responded(1410, service)
+			h.Responded(1410, service, 0)
 		}, pathmonitor.Reachable},
 		"connections that live on while new ones are refused": {nil, func(h *harness) {
 			h.Failed(1000, service)
 			h.tick(1000)
-			h.Responded(1010, service)
+			h.Responded(1010, service, 0)
 			h.tick(1050)
-			h.Responded(1060, service)
+			h.Responded(1060, service, 990)
 		}, pathmonitor.Unreachable},
 		"silence and a failure": {nil, func(h *harness) {
 			h.RequestSent(1000, service)
 			h.run(1000, 1400)
 			h.Failed(1405, service)
-			h.Responded(1410, service)
+			h.Responded(1410, service, 0)
 		}, pathmonitor.InDoubt},
 		"paths that are back": {nil, func(h *harness) {
 			h.Failed(1000, service)
@@ -84,10 +84,10 @@
 			h.accepting = all
 			h.run(2000, 2400)
 		}, pathmonitor.Reachable},
-		"a connect that succeeds": {nil, func(h *harness) {
+		"a response on a new connection": {nil, func(h *harness) {
 			h.Failed(1000, service)
 			h.run(1000, 2000)
-			h.Connected(2010, service)
+			h.Responded(2010, service, 2005)
 		}, pathmonitor.Reachable},
 		"one upstream of all":   {map[string]bool{"u3": true}, func(h *harness) { h.upstreams = 4; h.Failed(1000, service); h.run(1000, 1100) }, pathmonitor.Reachable},
 		"no upstream is listed": {nil, func(h *harness) { h.upstreams = 0; h.Failed(1000, service); h.run(1000, 3000) }, pathmonitor.InDoubt},
@@ -110,7 +110,7 @@
 	h.Failed(1000, service)
 	h.tick(1000)
 	late := h.probes
-	h.Connected(1010, service)
+	h.Responded(1010, service, 1005)
 	h.Failed(1400, service)
 	h.probes = nil
 	h.tick(1400)
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -240,8 +241,6 @@
 	// MaySend is called immediately before the first byte is written, unless it is nil. If it
 	// returns false, nothing is sent and the error wraps ErrWithheld.
 	MaySend func() bool
-	// Connected is called when a new connection was opened, unless it is nil.
-	Connected func()
 }
 
 // ErrWithheld is the cause of an Error if MaySend returned false.
@@ -319,13 +318,8 @@
 			return k, true, nil
 		}
 	}
-	if k, err = c.dial(ctx, r.Address); err != nil {
-		return nil, false, err
-	}
-	if r.Connected != nil {
-		r.Connected()
-	}
-	return k, false, nil
+	k, err = c.dial(ctx, r.Address)
+	return k, false, err
 }
 
 func (c *Connector) dial(ctx context.Context, address string) (*conn, error) {
@@ -340,13 +334,18 @@
 	return &conn{net: n, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize)}, nil
 }
 
-// Open opens a connection to an upstream and keeps it for a later request.
-func (c *Connector) Open(ctx context.Context, upstream, address string) error {
-	k, err := c.dial(ctx, address)
+// maxProbeBytes limits the size of a probe's response.
+const maxProbeBytes = 16 << 10
+
+// Probe opens a connection to an upstream, requests the path on it and keeps it for later
+// requests. Any response is a success.
+func (c *Connector) Probe(ctx context.Context, upstream, address, path string) error {
+	x, err := c.Do(ctx, Request{Upstream: upstream, Address: address, Method: http.MethodGet, Target: path, Host: address, NewConnection: true})
 	if err != nil {
 		return err
 	}
-	c.put(upstream, k, c.opts.IdleTimeout)
+	n, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxProbeBytes))
+	x.Close(err == nil && n < maxProbeBytes)
 	return nil
 }
 
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -63,7 +63,6 @@
 	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, started: d.clock.Now(), arrivalsBefore: j.arrivals, permit: p.permit, cancel: cancel}
 	a := Attempt{
 		Call: j.call, Replica: choice.Replica, Remaining: j.deadline - t.started, Priority: j.enginePriority(), ResumeAfter: j.lastEvent, MaySend: t.maySend,
-		Connected: func() { d.paths.Connected(j.service) },
 	}
 	if j.account != nil {
 		a.Organisation = j.account.Name
@@ -81,7 +80,7 @@
 		d.recordSendEnd(p.send, classifier.Classify(e).Send)
 		return t.handleSendError(e, err, context.Cause(attemptCtx))
 	}
-	d.paths.Responded(j.service)
+	t.recordContact(response)
 	t.settleSend(classifier.Succeeded, response.Limit)
 	d.recordSendEnd(p.send, rationer.Answered)
 	return t.handleResponse(attemptCtx, response, timer)
@@ -178,6 +177,15 @@
 	return stop, reason
 }
 
+// recordContact records that the upstream was reached.
+func (t *try) recordContact(response *Response) {
+	openedAt := sequoiasill.Millis(0)
+	if response.NewConnection {
+		openedAt = t.started
+	}
+	t.d.paths.Responded(t.service, openedAt)
+}
+
 // slowConnect is the duration from which a connect that was given up counts as failed. A connect
 // takes a few milliseconds.
 const slowConnect = 150 * sequoiasill.Millis(1)
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -36,27 +36,26 @@
 	// MaySend is called immediately before the first byte is written. If it returns false,
 	// nothing is sent.
 	MaySend func() bool
-	// Connected is called when a new connection was opened for the attempt.
-	Connected func()
 }
 
 // Response is the response of an upstream: its header and a reader for its body. Close must be
 // called.
 type Response struct {
-	Status      int
-	Header      http.Header        // header fields to forward to the caller
-	Refused     bool               // the upstream states that it did not run the call
-	Misdirected bool               // the address now belongs to another upstream
-	Authentic   bool               // authenticated as the upstream's response to this call
-	EventStream bool               // the body is an event stream
-	UntilClose  bool               // the body has no framing and ends when the upstream closes the connection
-	Draining    bool               // the upstream is draining
-	Pause       sequoiasill.Millis // pause that the upstream requests, 0 for none
-	Limit       registrar.Limit    // rate limit that the upstream applies to the calls of all entries
-	Load        registrar.Load
-	HasLoad     bool
-	Body        io.Reader
-	Close       func(whole bool)
+	Status        int
+	Header        http.Header        // header fields to forward to the caller
+	Refused       bool               // the upstream states that it did not run the call
+	Misdirected   bool               // the address now belongs to another upstream
+	Authentic     bool               // authenticated as the upstream's response to this call
+	EventStream   bool               // the body is an event stream
+	UntilClose    bool               // the body has no framing and ends when the upstream closes the connection
+	Draining      bool               // the upstream is draining
+	Pause         sequoiasill.Millis // pause that the upstream requests, 0 for none
+	Limit         registrar.Limit    // rate limit that the upstream applies to the calls of all entries
+	Load          registrar.Load
+	HasLoad       bool
+	NewConnection bool // the request was the first one on its connection
+	Body          io.Reader
+	Close         func(whole bool)
 }
 
 // Transport sends attempts to upstreams. Its errors carry a verdict, see Verdict.
@@ -123,9 +122,9 @@
 	// none is awaited any more.
 	RequestSent(service string)
 	RequestEnded(service string)
-	// Responded records a response on an open connection, and Connected a new connection.
-	Responded(service string)
-	Connected(service string)
+	// Responded records a response. openedAt is the earliest time at which its connection may have
+	// been opened, 0 if it was open before the request.
+	Responded(service string, openedAt sequoiasill.Millis)
 	// Failed records a connect that failed, or a connection that ended without a response.
 	Failed(service string)
 }
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -200,12 +200,11 @@
 }
 
 // State tells that all services are reachable.
-func (u *fakePeers) State(string) pathmonitor.State { return pathmonitor.Reachable }
-func (u *fakePeers) RequestSent(string)             {}
-func (u *fakePeers) RequestEnded(string)            {}
-func (u *fakePeers) Responded(string)               {}
-func (u *fakePeers) Connected(string)               {}
-func (u *fakePeers) Failed(string)                  {}
+func (u *fakePeers) State(string) pathmonitor.State       { return pathmonitor.Reachable }
+func (u *fakePeers) RequestSent(string)                   {}
+func (u *fakePeers) RequestEnded(string)                  {}
+func (u *fakePeers) Responded(string, sequoiasill.Millis) {}
+func (u *fakePeers) Failed(string)                        {}
 
 func (u *fakePeers) CountUsage(organisation string) {
 	u.mu.Lock()
--- a/relay/prober/prober.go
+++ b/relay/prober/prober.go
@@ -15,32 +15,40 @@
 
 // Connector opens connections to upstreams, which later requests use.
 type Connector interface {
-	// Open opens a connection to an upstream and keeps it for a later request.
-	Open(ctx context.Context, upstream, address string) error
+	// Probe opens a connection to an upstream and requests the path on it. Any response is a
+	// success.
+	Probe(ctx context.Context, upstream, address, path string) error
 }
 
-// Upstreams returns the upstreams of a service that may be probed.
-type Upstreams func(service string) []sequoiasill.Replica
+// Target is an upstream that may be probed.
+type Target struct {
+	Upstream string
+	Address  string
+	Path     string // of its health check
+}
+
+// Targets returns the upstreams of a service that may be probed.
+type Targets func(service string) []Target
 
 // Meter counts probes and changes of paths.
 type Meter interface {
 	// PathChanged counts a change of the paths to a service, by the state that it enters.
 	PathChanged(state string)
-	// PathProbed counts a probe by whether it connected.
-	PathProbed(connected bool)
+	// PathProbed counts a probe by whether it was answered.
+	PathProbed(answered bool)
 }
 
 const (
 	tickInterval = 50 * time.Millisecond
-	// probeTimeout bounds the connect of a probe. It is much longer than a round trip between
-	// zones, and leaves time to serve the call of which the failure raised the doubt.
+	// probeTimeout bounds a probe. It is much longer than a connect and an exchange between zones,
+	// and leaves time to serve the call of which the failure raised the doubt.
 	probeTimeout = 400 * time.Millisecond
 )
 
 // Prober watches paths until Close. It is safe for concurrent use.
 type Prober struct {
 	connector Connector
-	upstreams Upstreams
+	targets   Targets
 	clock     sequoiasill.Clock
 	meter     Meter
 	log       hclog.Logger
@@ -53,8 +61,8 @@
 }
 
 // New returns a Prober that decides with m.
-func New(m *pathmonitor.Monitor, connector Connector, upstreams Upstreams, meter Meter, clock sequoiasill.Clock, log hclog.Logger) *Prober {
-	p := &Prober{connector: connector, upstreams: upstreams, clock: clock, meter: meter, log: log.Named("paths"), stop: make(chan struct{}), monitor: m}
+func New(m *pathmonitor.Monitor, connector Connector, targets Targets, meter Meter, clock sequoiasill.Clock, log hclog.Logger) *Prober {
+	p := &Prober{connector: connector, targets: targets, clock: clock, meter: meter, log: log.Named("paths"), stop: make(chan struct{}), monitor: m}
 	go func() {
 		tick := time.NewTicker(tickInterval)
 		defer tick.Stop()
@@ -109,37 +117,42 @@
 	p.monitor.RequestEnded(service)
 }
 
-// Responded records data from an upstream on an open connection.
-func (p *Prober) Responded(service string) { p.update(service, (*pathmonitor.Monitor).Responded) }
-
-// Connected records a new connection to an upstream.
-func (p *Prober) Connected(service string) { p.update(service, (*pathmonitor.Monitor).Connected) }
+// Responded records a response. openedAt is the earliest time at which its connection may have been
+// opened, 0 if it was open before the request.
+func (p *Prober) Responded(service string, openedAt sequoiasill.Millis) {
+	p.update(func(now sequoiasill.Millis) *pathmonitor.Transition {
+		return p.monitor.Responded(now, service, openedAt)
+	})
+}
 
-// Failed records that a connect to an upstream failed, or that the upstream closed a connection
-// without a response.
-func (p *Prober) Failed(service string) { p.update(service, (*pathmonitor.Monitor).Failed) }
+// Failed records that a connect to an upstream failed, or that a connection ended without a
+// response.
+func (p *Prober) Failed(service string) {
+	p.update(func(now sequoiasill.Millis) *pathmonitor.Transition { return p.monitor.Failed(now, service) })
+}
 
-func (p *Prober) update(service string, f func(*pathmonitor.Monitor, sequoiasill.Millis, string) *pathmonitor.Transition) {
+// update calls f with the current time while it holds the lock, and reports the change.
+func (p *Prober) update(f func(now sequoiasill.Millis) *pathmonitor.Transition) {
 	p.mu.Lock()
-	t := f(p.monitor, p.clock.Now(), service)
+	t := f(p.clock.Now())
 	p.mu.Unlock()
 	if t != nil {
 		p.report(*t)
 	}
 }
 
-// tick starts the probes that are due. The upstreams are read beforehand, as the dispatcher calls
-// the prober while it holds the lock that guards them.
+// tick starts the probes that are due. The targets are read beforehand, as the dispatcher calls the
+// prober while it holds the lock that guards them.
 func (p *Prober) tick() {
 	p.mu.Lock()
 	services := p.monitor.Services()
 	p.mu.Unlock()
-	addresses := make(map[string]string)
+	targets := make(map[string]Target)
 	names := make(map[string][]string)
 	for _, service := range services {
-		for _, r := range p.upstreams(service) {
-			addresses[r.Name] = r.Address
-			names[service] = append(names[service], r.Name)
+		for _, t := range p.targets(service) {
+			targets[t.Upstream] = t
+			names[service] = append(names[service], t.Upstream)
 		}
 	}
 	p.mu.Lock()
@@ -149,22 +162,19 @@
 		p.report(t)
 	}
 	for _, probe := range probes {
-		go p.probe(probe, addresses[probe.Upstream])
+		go p.probe(probe, targets[probe.Upstream])
 	}
 }
 
-func (p *Prober) probe(probe pathmonitor.Probe, address string) {
+func (p *Prober) probe(probe pathmonitor.Probe, t Target) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	err := p.connector.Open(ctx, probe.Upstream, address)
+	err := p.connector.Probe(ctx, t.Upstream, t.Address, t.Path)
 	p.meter.PathProbed(err == nil)
 	p.log.Debug("probe", "service", probe.Service, "upstream", probe.Upstream, "error", err)
-	p.mu.Lock()
-	t := p.monitor.ProbeEnded(p.clock.Now(), probe, err == nil)
-	p.mu.Unlock()
-	if t != nil {
-		p.report(*t)
-	}
+	p.update(func(now sequoiasill.Millis) *pathmonitor.Transition {
+		return p.monitor.ProbeEnded(now, probe, err == nil)
+	})
 }
 
 // report logs a change and tells the listeners.
