Soak: partition some entries from all replicas, known red

Reproduces the incident with real processes: the replicas' proxies find out which entry opened a connection and hold its data back, reset it, or refuse new ones. The check is the users' rule: from contactMs on, first attempts at partitioned entries are served at least two thirds as often as at the others.

What a call's arrival tells is now recorded for the entry that sent it.

--- a/cmd/sequoia-soak/main.go
+++ b/cmd/sequoia-soak/main.go
@@ -79,6 +79,9 @@
 	if counts.RateLimited > 0 {
 		fmt.Printf("  %d calls came to upstreams whose limits held, %.0f%% of what is allowed in the fullest window\n", counts.RateLimited, counts.MaxRateLimitUse*100)
 	}
+	if counts.PartitionedCalls > 0 {
+		fmt.Printf("  %d of %d calls to entries that reached no replica were served\n", counts.PartitionedServed, counts.PartitionedCalls)
+	}
 	for _, name := range slices.Sorted(maps.Keys(counts.Faults)) {
 		fmt.Printf("  %3d %s\n", counts.Faults[name], name)
 	}
--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -45,6 +45,7 @@
 type callRecord struct {
 	kind             callKind
 	entry            int    // number of the entry that the call was sent to
+	sender           int    // number of the entry that sent it to an upstream last
 	drainingUpstream string // upstream whose response announced draining; empty if none did
 	limitingUpstream string // upstream whose response announced a rate limit; empty if none did
 	key              string
@@ -63,6 +64,7 @@
 	signals       *signalChecker
 	limits        *limitChecker
 	prompts       *promptChecker
+	partitions    *partitionChecker
 	recoveries    recoveries // of the entries' connections to the platform
 	violations    []string
 	revokedAt     map[string]time.Time    // time at which the store held a configuration without the API key
@@ -80,12 +82,13 @@
 	Retries                                       int
 	WorstWindows                                  []auditor.Window // windows with the largest use of the limit on retries, by service
 	RateLimited                                   int              // calls that arrived while the upstream's rate limit applied
+	PartitionedServed, PartitionedCalls           int              // calls to entries that were partitioned from all replicas
 	MaxRateLimitUse                               float64          // largest fraction of the allowed calls that arrived in one window
 }
 
 func newChecker(retryLimits rationer.Limits) *checker {
 	return &checker{
-		calls: make(map[string]*callRecord), retries: newRetryChecker(retryLimits), signals: newSignalChecker(drainTimeout), limits: newLimitChecker(), prompts: newPromptChecker(), recoveries: recoveries{entries: make(map[string][]sequoiasill.Millis)}, revokedAt: make(map[string]time.Time), drainingSince: make(map[string]time.Time), crashes: make(map[string]*crashRecord),
+		calls: make(map[string]*callRecord), retries: newRetryChecker(retryLimits), signals: newSignalChecker(drainTimeout), limits: newLimitChecker(), prompts: newPromptChecker(), partitions: newPartitionChecker(), recoveries: recoveries{entries: make(map[string][]sequoiasill.Millis)}, revokedAt: make(map[string]time.Time), drainingSince: make(map[string]time.Time), crashes: make(map[string]*crashRecord),
 		counts: Counts{Faults: make(map[string]int)},
 	}
 }
@@ -147,23 +150,28 @@
 	c.retries.recordArrival(nowMillis(), id, service, timeout, heldUp)
 }
 
-// recordDelivery records that a call arrives at the upstream that it is addressed to, and whether
-// the response announces draining or a rate limit.
-func (c *checker) recordDelivery(id, upstream string, draining, limited bool) {
+// recordDelivery records that a call arrives at the upstream that it is addressed to, by which entry
+// it was sent there, and whether the response announces draining or a rate limit. If the sender is
+// unknown, it is taken to be the entry that the caller sent the call to.
+func (c *checker) recordDelivery(id string, ln link, draining, limited bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r, ok := c.calls[id]
 	if !ok {
 		return
 	}
-	c.signals.recordArrival(nowMillis(), sequoiasill.Millis(r.sent.UnixMilli()), link{r.entry, upstream})
-	c.limits.recordArrival(nowMillis(), sequoiasill.Millis(r.sent.UnixMilli()), link{r.entry, upstream})
+	if ln.entry < 0 {
+		ln.entry = r.entry
+	}
+	r.sender = ln.entry
+	c.signals.recordArrival(nowMillis(), sequoiasill.Millis(r.sent.UnixMilli()), ln)
+	c.limits.recordArrival(nowMillis(), sequoiasill.Millis(r.sent.UnixMilli()), ln)
 	r.drainingUpstream, r.limitingUpstream = "", ""
 	if draining {
-		r.drainingUpstream = upstream
+		r.drainingUpstream = ln.upstream
 	}
 	if limited {
-		r.limitingUpstream = upstream
+		r.limitingUpstream = ln.upstream
 	}
 }
 
@@ -184,7 +192,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r, ok := c.calls[id]; ok {
-		c.signals.recordPause(at, link{r.entry, upstream}, duration)
+		c.signals.recordPause(at, link{r.sender, upstream}, duration)
 	}
 }
 
@@ -196,6 +204,7 @@
 	c.signals.recordDisruption(nowMillis(), e.number)
 	c.limits.recordDisruption(nowMillis(), e.number)
 	c.prompts.recordDisruption(nowMillis(), e.number)
+	c.partitions.recordDisruption(nowMillis(), e.number)
 	c.recoveries.entries[e.name()] = append(c.recoveries.entries[e.name()], nowMillis())
 }
 
@@ -256,10 +265,10 @@
 	}
 	r.status = status
 	if r.drainingUpstream != "" && status != http.StatusServiceUnavailable {
-		c.signals.recordDrainingResponse(nowMillis(), link{r.entry, r.drainingUpstream})
+		c.signals.recordDrainingResponse(nowMillis(), link{r.sender, r.drainingUpstream})
 	}
 	if r.limitingUpstream != "" && status != http.StatusServiceUnavailable {
-		c.limits.recordLimitResponse(nowMillis(), link{r.entry, r.limitingUpstream})
+		c.limits.recordLimitResponse(nowMillis(), link{r.sender, r.limitingUpstream})
 	}
 	switch status {
 	case http.StatusOK:
@@ -350,6 +359,13 @@
 	}
 }
 
+// recordPartition records that entries were partitioned from all replicas.
+func (c *checker) recordPartition(p partitionPeriod) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.partitions.periods = append(c.partitions.periods, p)
+}
+
 func (c *checker) recordKeyRevocation(key string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -368,11 +384,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for id, r := range c.calls {
+		c.partitions.calls = append(c.partitions.calls, partitionCall{sent: sequoiasill.Millis(r.sent.UnixMilli()), entry: r.entry, served: r.status == http.StatusOK && r.err == nil})
 		if r.err != nil && r.undisturbed && r.executions > 0 {
 			c.addViolationLocked("call %s ran and ended without an answer under planned work only: %v", id, r.err)
 		}
 	}
+	stranded := c.partitions.results()
+	c.counts.PartitionedServed, c.counts.PartitionedCalls = c.partitions.served, c.partitions.counted
 	c.counts.Retries, c.counts.WorstWindows = c.retries.auditor.Repeats(), c.retries.auditor.WorstWindows(c.retries.limits)
 	c.counts.RateLimited, c.counts.MaxRateLimitUse = c.limits.checkedCalls, c.limits.maxUse
-	return slices.Concat(c.violations, c.retries.violations(), c.signals.violations, c.limits.violations, c.prompts.results()), c.counts
+	return slices.Concat(c.violations, c.retries.violations(), c.signals.violations, c.limits.violations, c.prompts.results(), stranded), c.counts
 }
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -79,6 +79,7 @@
 		})
 	}},
 	{restoreStoreFault, false, (*Harness).restoreStore},
+	{partitionFault, false, (*Harness).partitionEntries},
 	{"cut an entry from the store", false, func(h *Harness, duration time.Duration) {
 		h.withRandomEntry(func(e *entry) {
 			e.store.setFault(blackhole)
--- a/standin/soaker/proxy.go
+++ b/standin/soaker/proxy.go
@@ -22,22 +22,28 @@
 type proxy struct {
 	listener net.Listener
 	target   string
+	paths    *partitions // between entries and this proxy; nil for none
 
 	mu           sync.Mutex
 	fault        networkFault
 	lastFaultEnd time.Time
 	faultChanged chan struct{} // closed and replaced when the fault changes
 	conns        map[net.Conn]bool
-	lossy        map[string]bool // connections to the target that lost response data, by local address
+	senders      map[net.Conn]int // number of the entry that opened the connection, -1 if unknown
+	targetSender map[string]int   // the same by the local address of the connection to the target
+	lossy        map[string]bool  // connections to the target that lost response data, by local address
 }
 
 // newProxy listens on an address and forwards connections to target.
-func newProxy(address, target string) (*proxy, error) {
+func newProxy(address, target string, paths *partitions) (*proxy, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, faultChanged: make(chan struct{}), conns: make(map[net.Conn]bool), lossy: make(map[string]bool)}
+	p := &proxy{
+		listener: l, target: target, paths: paths, faultChanged: make(chan struct{}), conns: make(map[net.Conn]bool),
+		senders: make(map[net.Conn]int), targetSender: make(map[string]int), lossy: make(map[string]bool),
+	}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -89,9 +95,12 @@
 	p.lossy[target.LocalAddr().String()] = true
 }
 
-// waitWhileStalled waits until connections are not stalled and returns the active fault.
-func (p *proxy) waitWhileStalled() networkFault {
+// waitWhileStalled waits until connections of an entry are not stalled and returns the active fault.
+func (p *proxy) waitWhileStalled(sender int) networkFault {
 	for {
+		if p.paths != nil {
+			p.paths.waitWhileHeld(sender)
+		}
 		p.mu.Lock()
 		f, changed := p.fault, p.faultChanged
 		p.mu.Unlock()
@@ -112,6 +121,45 @@
 	}
 }
 
+// resetSender resets the connections that an entry opened.
+func (p *proxy) resetSender(entry int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c, sender := range p.senders {
+		if sender == entry {
+			resetOnClose(c)
+			_ = c.Close()
+		}
+	}
+}
+
+// sender returns the number of the entry that sent a request over the proxy, by the address from
+// which the target received it, or -1 if it is unknown.
+func (p *proxy) sender(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if entry, ok := p.targetSender[address]; ok {
+		return entry
+	}
+	return -1
+}
+
+// senderHeldWithin reports whether the entry that sent a request is partitioned, or was less than the
+// given duration ago.
+func (p *proxy) senderHeldWithin(address string, duration time.Duration) bool {
+	return p.paths != nil && p.paths.heldWithin(p.sender(address), duration)
+}
+
+// identify returns the number of the entry that opened a connection, and whether it may connect.
+func (p *proxy) identify(client net.Conn) (sender int, accepted bool) {
+	if p.paths == nil {
+		return -1, true
+	}
+	sender = p.paths.sender(client)
+	state, _ := p.paths.state(sender)
+	return sender, state != refuse
+}
+
 // resetOnClose makes the close of a connection send a reset.
 func resetOnClose(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
@@ -128,11 +176,18 @@
 		return
 	}
 	delete(p.conns, c)
+	delete(p.senders, c)
 	_ = c.Close()
 }
 
 func (p *proxy) forward(client net.Conn) {
-	p.waitWhileStalled()
+	sender, accepted := p.identify(client)
+	if !accepted {
+		resetOnClose(client)
+		_ = client.Close()
+		return
+	}
+	p.waitWhileStalled(sender)
 	server, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = client.Close()
@@ -140,11 +195,15 @@
 	}
 	p.track(client, true)
 	p.track(server, true)
+	p.mu.Lock()
+	p.senders[client] = sender
+	p.targetSender[server.LocalAddr().String()] = sender
+	p.mu.Unlock()
 	defer p.track(client, false)
 	defer p.track(server, false)
 	done := make(chan struct{}, 2)
-	go func() { p.relay(server, client, func() {}, false); done <- struct{}{} }()
-	go func() { p.relay(client, server, func() { p.markLossy(server) }, true); done <- struct{}{} }()
+	go func() { p.relay(server, client, sender, func() {}, false); done <- struct{}{} }()
+	go func() { p.relay(client, server, sender, func() { p.markLossy(server) }, true); done <- struct{}{} }()
 	<-done
 }
 
@@ -153,12 +212,12 @@
 
 // relay copies data as the active fault permits and calls onDrop when it drops some. A
 // blackholed connection stays blackholed after the fault has ended.
-func (p *proxy) relay(dst, src net.Conn, onDrop func(), responses bool) {
+func (p *proxy) relay(dst, src net.Conn, sender int, onDrop func(), responses bool) {
 	buf := make([]byte, 16<<10)
 	blackholed := false
 	for {
 		n, err := src.Read(buf)
-		f := p.waitWhileStalled()
+		f := p.waitWhileStalled(sender)
 		blackholed = blackholed || f == blackhole || f == dropResponses && responses
 		if f == delayData {
 			time.Sleep(rand.N(maxDataDelay))
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -51,7 +51,7 @@
 
 // newReplica starts a replica behind a proxy that listens on an address, or on any if it is
 // empty.
-func newReplica(id, service, address string, checker *checker, onCrash func(r *replica)) (*replica, error) {
+func newReplica(id, service, address string, paths *partitions, checker *checker, onCrash func(r *replica)) (*replica, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -59,7 +59,7 @@
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
-	p, err := newProxy(address, l.Addr().String())
+	p, err := newProxy(address, l.Addr().String(), paths)
 	if err != nil {
 		_ = l.Close()
 		return nil, err
@@ -170,6 +170,9 @@
 	return h.Sum32()
 }
 
+// healthPath is the path of health checks.
+const healthPath = "/healthz"
+
 // heldUpTime is how long after a network fault calls may still arrive late because of it.
 const heldUpTime = 3 * time.Second
 
@@ -183,9 +186,12 @@
 }
 
 func (r *replica) serve(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == healthPath {
+		return
+	}
 	id := req.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	r.checker.recordArrival(id, r.service, attemptTimeout(req), r.proxy.faultyWithin(heldUpTime))
+	r.checker.recordArrival(id, r.service, attemptTimeout(req), r.proxy.faultyWithin(heldUpTime) || r.proxy.senderHeldWithin(req.RemoteAddr, heldUpTime))
 	draining := r.draining.Load()
 	if draining {
 		r.setSignal(w, OmitDraining, "Server-Leaving", "1")
@@ -198,7 +204,7 @@
 	if limit > 0 {
 		r.setSignal(w, OmitRateLimit, "Server-Limit", strconv.FormatFloat(perSecond(limit), 'f', -1, 64))
 	}
-	r.checker.recordDelivery(id, r.id, draining, limit > 0)
+	r.checker.recordDelivery(id, link{r.proxy.sender(req.RemoteAddr), r.id}, draining, limit > 0)
 	deadly := deadlyPartOf(req.Header.Get(headerPrompt))
 	if deadly != "" {
 		r.checker.recordPartArrival(id, deadly)
--- a/standin/soaker/retries_test.go
+++ b/standin/soaker/retries_test.go
@@ -100,7 +100,7 @@
 // disconnected by then.
 func TestStallKeepsSentData(t *testing.T) {
 	c := newChecker(rationer.Limits{Window: second})
-	r, err := newReplica("i-1", plainService, "", c, func(*replica) {})
+	r, err := newReplica("i-1", plainService, "", nil, c, func(*replica) {})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -69,6 +69,7 @@
 	entries     []*entry
 	rand        *rand.Rand
 	faultLog    hclog.Logger
+	paths       *partitions
 
 	mu              sync.Mutex
 	replicas        map[string]*replica
@@ -92,6 +93,7 @@
 		opts: o, checker: newChecker(o.RetryLimits), rand: rand.New(rand.NewPCG(o.Seed, 1)),
 		replicas: make(map[string]*replica), registered: make(map[string]*replica), apiKeys: []string{"key-0"}, ready: make(map[int]bool), inUse: make(map[string]bool),
 	}
+	h.paths = newPartitions(h.senderOf)
 	reservation, err := h.reserveNetwork()
 	if err != nil {
 		return nil, Counts{}, err
@@ -146,7 +148,7 @@
 
 func (h *Harness) startEntries(storeAddress string) error {
 	for i := range h.opts.Entries {
-		p, err := newProxy("127.0.0.1:0", storeAddress)
+		p, err := newProxy("127.0.0.1:0", storeAddress, nil)
 		if err != nil {
 			return err
 		}
@@ -265,7 +267,7 @@
 	}
 	h.config = map[string]any{
 		"version": h.configVersion, "routes": routes, "services": []any{
-			map[string]any{"name": plainService, "healthPath": "/healthz"}, map[string]any{"name": streamService, "healthPath": "/healthz"},
+			map[string]any{"name": plainService, "healthPath": healthPath}, map[string]any{"name": streamService, "healthPath": healthPath},
 		},
 		"limits":  map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": "small", "apiKeys": h.apiKeys}},
@@ -279,7 +281,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.replicasCreated++
-	r, err := newReplica(fmt.Sprintf("i-%d", h.replicasCreated), service, address, h.checker, h.handleCrash)
+	r, err := newReplica(fmt.Sprintf("i-%d", h.replicasCreated), service, address, h.paths, h.checker, h.handleCrash)
 	if err != nil {
 		return err
 	}
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -69,6 +69,15 @@
 	})
 }
 
+// Entries that reach no upstream must go on serving their callers.
+func TestCallersOfStrandedEntriesAreServed(t *testing.T) {
+	runSoak(t, soaker.Options{
+		Seed: 2, Duration: 12 * time.Second, OnlyFault: "partition some entries from all replicas", Binary: build(t),
+		Entries: 5, Replicas: 3, Engines: 3, Callers: 20, Rate: 150,
+		RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+	})
+}
+
 // Upstreams omit a signal from their responses, so the entries ignore it. The checker must report
 // them.
 func TestFindsEntriesThatIgnoreUpstreamSignals(t *testing.T) {
