--- a/Makefile
+++ b/Makefile
@@ -50,3 +50,5 @@
 	GOBIN=$(TOOLS) GOWORK=off $(GO) install google.golang.org/grpc/cmd/protoc-gen-go-grpc@v1.6.2
 	PATH=$(TOOLS):$$PATH protoc -I entry/peerpb --go_out=entry/peerpb --go_opt=paths=source_relative \
 		--go-grpc_out=entry/peerpb --go-grpc_opt=paths=source_relative entry/peerpb/peer.proto
+	PATH=$(TOOLS):$$PATH protoc -I relay/relaypb --go_out=relay/relaypb --go_opt=paths=source_relative \
+		--go-grpc_out=relay/relaypb --go-grpc_opt=paths=source_relative relay/relaypb/relay.proto
--- a/decide/rationer/rationer.go
+++ b/decide/rationer/rationer.go
@@ -121,19 +121,31 @@
 	return max(r.slackShare()*burstFraction+r.limits.Ratio*capacityFraction*calls, 1)
 }
 
-// Call counts a call of a service, which adds to the service's budget.
-func (r *Rationer) Call(now sequoiasill.Millis, service string) *Call {
-	r.sweep(now)
+func (r *Rationer) budget(now sequoiasill.Millis, service string) *budget {
 	b, ok := r.budgets[service]
 	if !ok {
 		b = &budget{updatedAt: now}
 		r.budgets[service] = b
 	}
+	return b
+}
+
+// Call counts a call of a service, which adds to the service's budget.
+func (r *Rationer) Call(now sequoiasill.Millis, service string) *Call {
+	r.sweep(now)
+	b := r.budget(now, service)
 	b.calls.add(now, r.limits.Window)
 	r.refill(now, b, r.limits.Ratio*callFraction)
 	return &Call{budget: b}
 }
 
+// RelayedCall returns a call of a service that another entry has counted and relayed to this one. It
+// draws on this entry's budget and adds nothing to it.
+func (r *Rationer) RelayedCall(now sequoiasill.Millis, service string) *Call {
+	r.sweep(now)
+	return &Call{budget: r.budget(now, service)}
+}
+
 // State is the state of a budget that decides on a repeat.
 type State struct {
 	Available   float64 // available repeats
--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -455,6 +455,26 @@
 	return out
 }
 
+// AnyUnreachable reports whether an upstream of a service is avoided because no connection could be
+// made.
+func (r *Registrar) AnyUnreachable(now sequoiasill.Millis, service string) bool {
+	for _, s := range r.replicas {
+		if s.replica.Service == service && !s.removed && !s.replica.Draining && s.backoffUntil > now {
+			return true
+		}
+	}
+	return false
+}
+
+// ForgetUnreachable ends the backoffs of a service's upstreams and forgets their failures.
+func (r *Registrar) ForgetUnreachable(service string) {
+	for _, s := range r.replicas {
+		if s.replica.Service == service && s.backoff > 0 {
+			s.backoff, s.backoffUntil, s.calls, s.failures = 0, 0, 0, 0
+		}
+	}
+}
+
 // Listed returns all upstreams that are not removed, sorted by name.
 func (r *Registrar) Listed() []sequoiasill.Replica {
 	var out []sequoiasill.Replica
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -44,6 +44,7 @@
 	timeToFirstEvent sequoiasill.Millis // since the start of the attempt, 0 until the first event
 	withheld         bool               // the upstream became unavailable to the call before the send
 	limit            registrar.Limit    // rate limit that the response carries
+	relay            bool               // another entry serves the call
 	permit           *throttler.Permit  // nil if the upstream has no rate limit
 	maybeSent        bool               // part of the request may have been sent
 	cancel           context.CancelCauseFunc
@@ -135,6 +136,11 @@
 	t.prefill = 0
 	took := t.d.clock.Now() - t.started
 	t.d.meter.Attempted(result, took)
+	if t.relay {
+		t.d.log.Info("relayed", append([]any{"request", t.call.ID, "route", t.route.Name, "config", t.trafficVersion, "service", t.service,
+			"by", t.choice.Replica.Name, "zone", t.choice.Replica.Zone, "took", took, "end", result}, args...)...)
+		return
+	}
 	if outcome == registrar.Failed || outcome == registrar.Succeeded && t.timeToFirstEvent == 0 {
 		t.recordForMove(outcome == registrar.Failed, took)
 	}
@@ -155,9 +161,18 @@
 }
 
 // recordForMove adds the result of the attempt to the evaluation of the version. A stream
-// is recorded at its first event, and again if it is interrupted.
+// is recorded at its first event, and again if it is interrupted. The entry that serves a relayed
+// call records it.
 func (t *try) recordForMove(failed bool, took sequoiasill.Millis) {
-	t.d.moves.Record(t.service, t.route.Name, t.choice.Replica.Version, failed, took)
+	if t.relay {
+		return
+	}
+	record := func() { t.d.moves.Record(t.service, t.route.Name, t.choice.Replica.Version, failed, took) }
+	if !failed {
+		record()
+		return
+	}
+	t.d.whenReached(t.service, "failure of a version", record)
 }
 
 // conclude records the end of the attempt, and a suspected crash of the upstream, and returns
@@ -167,8 +182,8 @@
 	if t.brokePath(e) {
 		t.d.paths.Failed(t.service)
 	}
-	if a.ChargeCrash {
-		t.recordCrash()
+	if a.ChargeCrash && !t.relay {
+		t.d.whenReached(t.service, "crash", t.recordCrash)
 	}
 	t.recordEnd(a.Outcome, result, args...)
 	if a.Retry == classifier.RetryAny || a.Retry == classifier.RetryRepeatable && t.route.MayRetry() {
@@ -192,6 +207,9 @@
 
 // brokePath reports whether the end of the attempt may be due to the path to the upstream.
 func (t *try) brokePath(e classifier.End) bool {
+	if t.relay {
+		return false
+	}
 	switch e.Kind {
 	case classifier.NotSent:
 		return !e.EndedHere || t.d.clock.Now()-t.started >= slowConnect
@@ -207,6 +225,9 @@
 	case classifier.Withheld:
 		return t.conclude(e, "withheld", "upstream leaves, rests or limits its calls, or the prompt is quarantined")
 	case classifier.NotSent:
+		if !t.relay {
+			t.notSent++
+		}
 		return t.conclude(e, "not sent", "upstream cannot be reached", "error", err)
 	}
 	t.arrivals++
@@ -222,9 +243,10 @@
 	return t.conclude(e, result, "upstream gave no answer", "error", err, "cause", cause)
 }
 
-// countUsage adds the call to the organisation's usage, once per call.
+// countUsage adds the call to the organisation's usage, once per call. The entry that serves a
+// relayed call does so.
 func (t *try) countUsage() {
-	if t.usageCounted || t.account == nil {
+	if t.usageCounted || t.account == nil || t.relay {
 		return
 	}
 	t.usageCounted = true
@@ -258,12 +280,20 @@
 	return false
 }
 
+// countRun counts the upstreams that may have run the call in the attempt.
+func (t *try) countRun(a *Response) {
+	t.runs++
+	if a.Runs != nil {
+		t.runs = max(t.runs, a.Runs())
+	}
+}
+
 // maxRefusalBytes limits how much of a refusal's body is read.
 const maxRefusalBytes = 64 << 10
 
 // deliverWhole reads a response that is not an event stream, and delivers it.
 func (t *try) deliverWhole(ctx context.Context, a *Response, timer *attemptTimer) (nextStep, string) {
-	t.runs++
+	t.countRun(a)
 	t.countUsage()
 	body, release, err := t.d.readBody(a.Body)
 	defer release()
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -53,7 +53,8 @@
 	Limit         registrar.Limit    // rate limit that the upstream applies to the calls of all entries
 	Load          registrar.Load
 	HasLoad       bool
-	NewConnection bool // the request was the first one on its connection
+	NewConnection bool       // the request was the first one on its connection
+	Runs          func() int // upstreams that may have run a relayed call up to now, nil if it was not relayed
 	Body          io.Reader
 	Close         func(whole bool)
 }
@@ -171,6 +172,10 @@
 	// MaxDenials is the number of denied permits after which a call is sent only to upstreams
 	// without a rate limit.
 	MaxDenials int
+	// MaxRelays is the number of other entries to which one call is offered. MaxRelayedCalls bounds
+	// the calls that this entry serves for others at a time.
+	MaxRelays       int
+	MaxRelayedCalls int
 	// AttemptTimeoutPercent is the attempt timeout as a percentage of the route's target
 	// latency. An attempt without a response is cancelled after it if the call may be retried.
 	AttemptTimeoutPercent int
@@ -184,7 +189,7 @@
 
 // DefaultOptions returns the options that entries use.
 func DefaultOptions() Options {
-	return Options{MaxResponseBytes: 4 << 20, MaxBufferedBytes: 24 << 20, SmallResponseBytes: 64 << 10, MaxRefusals: 4, MaxDenials: 3, AttemptTimeoutPercent: 150, RetryAfter: 250, TypicalStreamDuration: 4 * sequoiasill.Second}
+	return Options{MaxResponseBytes: 4 << 20, MaxBufferedBytes: 24 << 20, SmallResponseBytes: 64 << 10, MaxRefusals: 4, MaxDenials: 3, MaxRelays: 3, MaxRelayedCalls: 256, AttemptTimeoutPercent: 150, RetryAfter: 250, TypicalStreamDuration: 4 * sequoiasill.Second}
 }
 
 // StateMachines are the state machines that a dispatcher drives.
@@ -204,11 +209,13 @@
 	moves         Moves
 	screener      Screener
 	paths         Paths
+	relays        Relays
 	meter         Meter
 	clock         sequoiasill.Clock
 	log           hclog.Logger
 	traffic       atomic.Pointer[sequoiasill.Traffic]
 	active        atomic.Int64
+	relayedCalls  atomic.Int64 // calls in progress that other entries relayed
 	bufferedBytes atomic.Int64 // bytes of responses that are held in memory
 	shutdownAt    atomic.Int64 // time at which the entry shuts down, 0 if none is set
 
@@ -224,9 +231,9 @@
 
 // New returns a dispatcher without traffic rules, which refuses calls until SetTraffic
 // provides them.
-func New(opts Options, transport Transport, peers Peers, moves Moves, screener Screener, paths Paths, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
+func New(opts Options, transport Transport, peers Peers, moves Moves, screener Screener, paths Paths, relays Relays, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
 	return &Dispatcher{
-		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, paths: paths, meter: meter, clock: clock, log: log.Named("dispatcher"),
+		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, paths: paths, relays: relays, meter: meter, clock: clock, log: log.Named("dispatcher"),
 		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad),
 	}
 }
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -19,7 +19,6 @@
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/partblamer"
-	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/decide/throttler"
@@ -199,13 +198,6 @@
 	u.permitUses = append(u.permitUses, fmt.Sprintf("%d arrived %t limit %t", p.Call.ID, e == throttler.Arrived, l.FromUpstream))
 }
 
-// State tells that all services are reachable.
-func (u *fakePeers) State(string) pathmonitor.State       { return pathmonitor.Reachable }
-func (u *fakePeers) RequestSent(string)                   {}
-func (u *fakePeers) RequestEnded(string)                  {}
-func (u *fakePeers) Responded(string, sequoiasill.Millis) {}
-func (u *fakePeers) Failed(string)                        {}
-
 func (u *fakePeers) CountUsage(organisation string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -255,18 +247,27 @@
 
 // newDispatcherWith returns a dispatcher with three ready upstreams.
 func newDispatcherWith(c dispatcher.Transport, u *fakePeers, budget *rationer.Rationer, log hclog.Logger) *dispatcher.Dispatcher {
-	screen := screener.New(partblamer.New(partblamer.DefaultOptions()), sequoiasill.NewSystemClock(), meter.New(), log)
-	return newScreeningDispatcher(c, u, screen, budget, log)
+	return newScreeningDispatcher(c, u, soundScreener(), budget, log)
+}
+
+// soundScreener returns a screener that has seen no crash.
+func soundScreener() *screener.Screener {
+	return screener.New(partblamer.New(partblamer.DefaultOptions()), sequoiasill.NewSystemClock(), meter.New(), hclog.NewNullLogger())
 }
 
 // newScreeningDispatcher returns one that screens calls.
 func newScreeningDispatcher(c dispatcher.Transport, u *fakePeers, screen dispatcher.Screener, budget *rationer.Rationer, log hclog.Logger) *dispatcher.Dispatcher {
+	return newDispatcherOf(c, u, screen, &fakePaths{}, &fakeRelays{}, budget, log)
+}
+
+// newDispatcherOf returns one with the given paths and other entries.
+func newDispatcherOf(c dispatcher.Transport, u *fakePeers, screen dispatcher.Screener, paths dispatcher.Paths, relays dispatcher.Relays, budget *rationer.Rationer, log hclog.Logger) *dispatcher.Dispatcher {
 	clock := sequoiasill.NewSystemClock()
 	r := registrar.New(registrar.DefaultOptions(), 1)
 	for i := range 3 {
 		r.Announce(clock.Now(), sequoiasill.Replica{Name: fmt.Sprintf("r%d", i), Service: "plain", Address: "10.0.0.1:1", Slots: 4, Revision: 1})
 	}
-	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, u, screen, u, meter.New(), dispatcher.StateMachines{
+	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, u, screen, paths, relays, meter.New(), dispatcher.StateMachines{
 		Registrar: r, Assigner: assigner.New(assigner.DefaultOptions(), 1), Allotter: allotter.New(allotter.Limits{Window: 1000}, 1, true),
 		Rationer: budget, Blamer: blamer.New(blamer.DefaultOptions()),
 	}, clock, log)
--- a/relay/dispatcher/feedback.go
+++ b/relay/dispatcher/feedback.go
@@ -8,6 +8,9 @@
 // recordFeedback records the upstream's state in a response: its load, draining, pause and
 // rate limit.
 func (t *try) recordFeedback(a *Response) {
+	if t.relay {
+		return
+	}
 	r := t.choice.Replica
 	if a.HasLoad {
 		t.d.WithRegistrar(func(g *registrar.Registrar) { g.RecordLoad(t.d.clock.Now(), r.Name, a.Load) })
--- /dev/null
+++ b/relay/dispatcher/relay.go
@@ -0,0 +1,257 @@
+package dispatcher
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/assigner"
+	"sequoiasill.dev/sequoiasill/decide/classifier"
+	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
+	"sequoiasill.dev/sequoiasill/decide/peerpicker"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
+	"sequoiasill.dev/sequoiasill/decide/registrar"
+)
+
+// Relays lets other entries serve calls whose upstreams this entry does not reach.
+type Relays interface {
+	// Pick returns an untried entry that may reach the upstreams of a service.
+	Pick(service string, tried map[string]bool) (peerpicker.Peer, bool)
+	// Send lets an entry serve a call. Its errors carry a verdict, see Verdict; a RefusalError is the
+	// entry's own.
+	Send(ctx context.Context, p peerpicker.Peer, c RelayedCall) (*Response, error)
+}
+
+// RelayedCall is a call that one entry lets another one serve.
+type RelayedCall struct {
+	Call           *sequoiasill.Call // as the caller sent it, except for the last event
+	Service        string            // only for the offer; the serving entry resolves the route again
+	TrafficVersion uint64            // of the traffic rules under which the call was admitted
+	Runs           int               // upstreams that may have run it
+}
+
+// RefusalError is the error of a call that another entry refused or failed to serve.
+type RefusalError struct {
+	Failure *sequoiasill.Failure
+	Runs    int // upstreams that may have run the call, those before it was relayed included
+}
+
+// Error returns the failure's text.
+func (e *RefusalError) Error() string { return "refused by another entry: " + e.Failure.Error() }
+
+// Unwrap returns the failure.
+func (e *RefusalError) Unwrap() error { return e.Failure }
+
+// Ran returns the verdict.
+func (e *RefusalError) Ran() sequoiasill.Verdict { return e.Failure.Verdict }
+
+// pickRelay chooses an entry that serves the call on behalf of this one. A call that another entry
+// relayed here is not relayed again.
+func (d *Dispatcher) pickRelay(j *job) (*peerpicker.Peer, bool) {
+	if j.relayed || len(j.triedPeers) >= d.opts.MaxRelays {
+		return nil, false
+	}
+	p, ok := d.relays.Pick(j.service, j.triedPeers)
+	return &p, ok
+}
+
+// nextPlacement chooses an upstream, or an entry that reaches them if this one does not.
+func (d *Dispatcher) nextPlacement(ctx context.Context, j *job) (placement, bool) {
+	if d.paths.State(j.service) == pathmonitor.Unreachable {
+		peer, ok := d.pickRelay(j)
+		return placement{relay: peer}, ok
+	}
+	if p, ok := d.place(ctx, j); ok || ctx.Err() != nil || !d.missesUpstreams(j) {
+		return p, ok
+	}
+	peer, ok := d.pickRelay(j)
+	return placement{relay: peer}, ok
+}
+
+// missesUpstreams reports whether the call found no upstream because some could not be reached from
+// here.
+func (d *Dispatcher) missesUpstreams(j *job) bool {
+	if j.notSent > 0 {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.registrar.AnyUnreachable(d.clock.Now(), j.service)
+}
+
+// attemptRelay lets another entry serve the call and delivers the response to the caller if it is
+// good.
+func (d *Dispatcher) attemptRelay(ctx context.Context, j *job, peer peerpicker.Peer) (nextStep, string) {
+	j.triedPeers[peer.Name] = true
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	t := &try{
+		job: j, d: d, relay: true, choice: assigner.Choice{Replica: sequoiasill.Replica{Name: peer.Name, Zone: peer.Zone}},
+		started: d.clock.Now(), arrivalsBefore: j.arrivals, cancel: cancel,
+	}
+	call := *j.call
+	call.LastEvent = j.lastEvent
+	call.Deadline = j.deadline
+	d.mu.Lock()
+	send := d.rationer.Sent(t.started, j.retryBudget, peer.Name)
+	d.mu.Unlock()
+	timer := newAttemptTimer(t)
+	defer timer.stop()
+	response, err := d.relays.Send(attemptCtx, peer, RelayedCall{Call: &call, Service: j.service, TrafficVersion: j.trafficVersion, Runs: j.runs})
+	var refusal *RefusalError
+	switch {
+	case errors.As(err, &refusal):
+		timer.stop()
+		d.recordSendEnd(send, rationer.Answered)
+		return t.handleRelayRefusal(ctx, refusal)
+	case err != nil:
+		timer.stop()
+		e := classifySendError(attemptCtx, err, false)
+		d.recordSendEnd(send, classifier.Classify(e).Send)
+		return t.handleSendError(e, err, context.Cause(attemptCtx))
+	}
+	d.recordSendEnd(send, rationer.Answered)
+	return t.handleResponse(attemptCtx, response, timer)
+}
+
+// handleRelayRefusal concludes an attempt that the other entry refused. What it refused for lack of
+// an upstream may go to another entry.
+func (t *try) handleRelayRefusal(ctx context.Context, refusal *RefusalError) (nextStep, string) {
+	f := refusal.Failure
+	if f.Verdict != sequoiasill.NotRun {
+		t.arrivals++
+		t.runs = max(t.runs+1, refusal.Runs)
+		return t.conclude(classifier.End{Kind: classifier.Failed}, "failed at another entry", f.Message, "status", f.Status)
+	}
+	switch f.Code {
+	case sequoiasill.CodeNoUpstream, sequoiasill.CodeLeaving, sequoiasill.CodeOverloaded:
+		return t.conclude(classifier.End{Kind: classifier.NotSent}, "refused by another entry", f.Message, "status", f.Status, "code", string(f.Code))
+	}
+	t.conclude(classifier.End{Kind: classifier.NotSent}, "refused by another entry", f.Message, "status", f.Status, "code", string(f.Code))
+	if t.runs > 0 || t.headerSent || ctx.Err() != nil {
+		return stop, f.Message
+	}
+	t.d.refundQuota(t.job)
+	t.d.refuse(t.call, t.reply, f)
+	return done, ""
+}
+
+// AcceptRelayed decides whether this entry would serve a call of a service for another one, whose
+// traffic rules have the given version. It returns the refusal if not.
+func (d *Dispatcher) AcceptRelayed(service string, trafficVersion uint64) *sequoiasill.Failure {
+	refuse := func(code sequoiasill.Code, reason string) *sequoiasill.Failure {
+		return sequoiasill.NewFailure(sequoiasill.NotRun, code, http.StatusServiceUnavailable, "%s", reason).WithRetryAfter(d.opts.RetryAfter)
+	}
+	t := d.traffic.Load()
+	switch {
+	case d.shutdownAt.Load() > 0:
+		return refuse(sequoiasill.CodeLeaving, "entry is leaving")
+	case t == nil || t.Version < trafficVersion:
+		return refuse(sequoiasill.CodeNoUpstream, "entry has an older configuration")
+	case d.paths.State(service) != pathmonitor.Reachable:
+		return refuse(sequoiasill.CodeNoUpstream, "entry does not reach the upstreams")
+	case d.relayedCalls.Load() >= int64(d.opts.MaxRelayedCalls):
+		return refuse(sequoiasill.CodeOverloaded, "entry serves too many calls of others")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.registrar.Candidates(d.clock.Now(), service)) == 0 {
+		return refuse(sequoiasill.CodeNoUpstream, "no upstream left")
+	}
+	return nil
+}
+
+// RelayWriter writes the response to an entry that relayed a call.
+type RelayWriter interface {
+	ResponseWriter
+
+	// SetRuns sets the number of upstreams that may have run the call up to now. It is called before
+	// the methods of ResponseWriter.
+	SetRuns(n int)
+}
+
+// ServeRelayed runs a call that another entry relayed and returns when its response has been sent.
+// The other entry has charged the quota. runs is the number of upstreams that may have run the call.
+func (d *Dispatcher) ServeRelayed(ctx context.Context, call *sequoiasill.Call, runs int, reply RelayWriter) {
+	d.relayedCalls.Add(1)
+	defer d.relayedCalls.Add(-1)
+	d.serve(ctx, call, nil, func(j *job) {
+		j.relayed = true
+		j.runs, j.arrivals = runs, runs
+		j.reply = &countingWriter{RelayWriter: reply, job: j}
+	})
+}
+
+// countingWriter tells the number of runs with each part of a response.
+type countingWriter struct {
+	RelayWriter
+
+	job *job
+}
+
+// SendWhole implements ResponseWriter.
+func (w *countingWriter) SendWhole(status int, header http.Header, body []byte) error {
+	w.SetRuns(w.job.runs)
+	return w.RelayWriter.SendWhole(status, header, body)
+}
+
+// Refuse implements ResponseWriter.
+func (w *countingWriter) Refuse(f *sequoiasill.Failure) {
+	w.SetRuns(w.job.runs)
+	w.RelayWriter.Refuse(f)
+}
+
+// Begin implements ResponseWriter. The upstream that sends the stream is counted when it has ended.
+func (w *countingWriter) Begin(status int, header http.Header) error {
+	w.SetRuns(w.job.runs + 1)
+	return w.RelayWriter.Begin(status, header)
+}
+
+// End implements ResponseWriter.
+func (w *countingWriter) End() error {
+	w.SetRuns(w.job.runs)
+	return w.RelayWriter.End()
+}
+
+// Abort implements ResponseWriter.
+func (w *countingWriter) Abort() {
+	w.SetRuns(w.job.runs)
+	w.RelayWriter.Abort()
+}
+
+// RelayedCalls returns the number of calls in progress that other entries relayed.
+func (d *Dispatcher) RelayedCalls() int { return int(d.relayedCalls.Load()) }
+
+// PathsRestored gives the upstreams of a service that this entry reaches again a fresh start: their
+// failed connects were due to the paths.
+func (d *Dispatcher) PathsRestored(service string) {
+	d.WithRegistrar(func(r *registrar.Registrar) { r.ForgetUnreachable(service) })
+}
+
+const (
+	// doubtCheckInterval is the interval of checks whether a doubt about paths was settled, and
+	// maxDoubt the time after which a failure in doubt is attributed to the paths.
+	doubtCheckInterval = 50 * time.Millisecond
+	maxDoubt           = 2 * sequoiasill.Second
+)
+
+// whenReached calls f once an upstream of the service is known to be reached after a failure, so that
+// the failure was not due to the paths of this entry. Otherwise f is never called.
+func (d *Dispatcher) whenReached(service, what string, f func()) {
+	d.checkReached(service, what, d.clock.Now()+maxDoubt, f)
+}
+
+func (d *Dispatcher) checkReached(service, what string, end sequoiasill.Millis, f func()) {
+	state := d.paths.State(service)
+	switch {
+	case state == pathmonitor.Reachable:
+		f()
+	case state == pathmonitor.Unreachable || d.clock.Now() >= end:
+		d.log.Info("failure attributed to the paths of this entry", "service", service, "what", what)
+	default:
+		time.AfterFunc(doubtCheckInterval, func() { d.checkReached(service, what, end, f) })
+	}
+}
--- /dev/null
+++ b/relay/dispatcher/relay_test.go
@@ -0,0 +1,309 @@
+package dispatcher_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
+	"sequoiasill.dev/sequoiasill/decide/peerpicker"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
+	"sequoiasill.dev/sequoiasill/relay/dispatcher"
+)
+
+// fakePaths has one state for all services.
+type fakePaths struct {
+	mu       sync.Mutex
+	state    pathmonitor.State
+	failures int
+}
+
+func (p *fakePaths) State(string) pathmonitor.State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state
+}
+
+func (p *fakePaths) set(s pathmonitor.State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = s
+}
+
+func (p *fakePaths) Failed(string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failures++
+}
+func (p *fakePaths) RequestSent(string)                   {}
+func (p *fakePaths) RequestEnded(string)                  {}
+func (p *fakePaths) Responded(string, sequoiasill.Millis) {}
+
+// relayStep scripts the result of one relayed call.
+type relayStep struct {
+	refusal *sequoiasill.Failure
+	verdict sequoiasill.Verdict // of a call that is lost
+	lost    bool
+	events  bool
+	broken  bool
+	status  int
+	body    string
+	runs    int
+}
+
+// fakeRelays has a number of other entries, which play their steps in turn.
+type fakeRelays struct {
+	entries int
+	steps   []relayStep
+	calls   []dispatcher.RelayedCall
+}
+
+func (r *fakeRelays) Pick(_ string, tried map[string]bool) (peerpicker.Peer, bool) {
+	for i := range r.entries {
+		if name := string(rune('a' + i)); !tried[name] {
+			return peerpicker.Peer{Name: name}, true
+		}
+	}
+	return peerpicker.Peer{}, false
+}
+
+func (r *fakeRelays) Send(_ context.Context, _ peerpicker.Peer, c dispatcher.RelayedCall) (*dispatcher.Response, error) {
+	s := r.steps[min(len(r.calls), len(r.steps)-1)]
+	r.calls = append(r.calls, c)
+	switch {
+	case s.refusal != nil:
+		return nil, &dispatcher.RefusalError{Failure: s.refusal, Runs: s.runs}
+	case s.lost:
+		return nil, sendError{s.verdict}
+	}
+	var body io.Reader = strings.NewReader(s.body)
+	if s.broken {
+		body = io.MultiReader(body, brokenReader{})
+	}
+	return &dispatcher.Response{
+		Status: s.status, Header: http.Header{}, Authentic: true, EventStream: s.events, Body: body, Runs: func() int { return s.runs }, Close: func(bool) {},
+	}, nil
+}
+
+// newRelayingDispatcher returns a dispatcher with the given paths and other entries.
+func newRelayingDispatcher(t *testing.T, c *fakeTransport, u *fakePeers, paths *fakePaths, relays *fakeRelays) *dispatcher.Dispatcher {
+	t.Helper()
+	return newDispatcherOf(c, u, soundScreener(), paths, relays, filledBudget(), hclog.NewNullLogger())
+}
+
+func refusal(v sequoiasill.Verdict, code sequoiasill.Code, status int) *sequoiasill.Failure {
+	return sequoiasill.NewFailure(v, code, status, "refused").WithRetryAfter(70)
+}
+
+// An entry that reaches no upstream lets other entries serve its calls.
+func TestCallsAreRelayedWhileNoUpstreamIsReached(t *testing.T) {
+	good := relayStep{status: 200, body: "good", runs: 1}
+	noUpstream := relayStep{refusal: refusal(sequoiasill.NotRun, sequoiasill.CodeNoUpstream, 503)}
+	tests := map[string]struct {
+		path    string
+		entries int
+		steps   []relayStep
+		want    reply
+		relayed int
+	}{
+		"a call":                 {"/once/x", 2, []relayStep{good}, reply{Status: 200, Body: "good", Ended: true}, 1},
+		"no other entry":         {"/once/x", 0, nil, reply{Status: 503, Ended: true, RetryAfter: 250}, 0},
+		"one that does not help": {"/once/x", 2, []relayStep{noUpstream, good}, reply{Status: 200, Body: "good", Ended: true}, 2},
+		"none that helps":        {"/once/x", 9, []relayStep{noUpstream}, reply{Status: 503, Ended: true, RetryAfter: 250}, 3},
+		"an offer that is not accepted": {
+			"/once/x", 2, []relayStep{{lost: true, verdict: sequoiasill.NotRun}, good}, reply{Status: 200, Body: "good", Ended: true}, 2},
+		"a lost response to what runs once": {
+			"/once/x", 2, []relayStep{{lost: true, verdict: sequoiasill.MayHaveRun}, good}, reply{Status: 502, Ended: true}, 1},
+		"a lost response to what may be retried": {
+			"/read/x", 2, []relayStep{{lost: true, verdict: sequoiasill.MayHaveRun}, good}, reply{Status: 200, Body: "good", Ended: true}, 2},
+		"a failure of what may have run once": {
+			"/once/x", 2, []relayStep{{refusal: refusal(sequoiasill.MayHaveRun, sequoiasill.CodeUpstreamFailed, 502), runs: 1}, good}, reply{Status: 502, Ended: true}, 1},
+		"a key that the other entry does not know": {
+			"/once/x", 2, []relayStep{{refusal: refusal(sequoiasill.NotRun, sequoiasill.CodeUnauthorised, 401)}, good}, reply{Status: 401, Ended: true, RetryAfter: 70}, 1},
+		"an error of the upstream": {"/once/x", 2, []relayStep{{status: 500, body: "bad", runs: 1}}, reply{Status: 500, Body: "bad", Ended: true}, 1},
+		"an error after all runs that are allowed": {
+			"/read/x", 2, []relayStep{{status: 500, body: "bad", runs: 2}, good}, reply{Status: 500, Body: "bad", Ended: true}, 1},
+		"a stream": {
+			"/long/x", 2, []relayStep{{status: 200, events: true, body: "id: 1\ndata: a\n\n", runs: 1}}, reply{Status: 200, Body: "id: 1\ndata: a\n\n", Ended: true}, 1},
+		"a stream that broke off": {
+			"/quick/x", 2, []relayStep{
+				{status: 200, events: true, body: "id: 1\ndata: a\n\nid: 2\nda", broken: true, runs: 1},
+				{status: 200, events: true, body: "id: 2\ndata: b\n\n", runs: 2}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Ended: true}, 2},
+		"a stream that broke off after all runs that are allowed": {
+			"/quick/x", 2, []relayStep{{status: 200, events: true, body: "id: 1\ndata: a\n\nid: 2\nda", broken: true, runs: 2}, good},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\n", WasCut: true}, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, u := &fakeTransport{steps: []step{{status: 200, body: "own"}}}, &fakePeers{usageCounts: make(map[string]int)}
+			relays := &fakeRelays{entries: tc.entries, steps: tc.steps}
+			d := newRelayingDispatcher(t, c, u, &fakePaths{state: pathmonitor.Unreachable}, relays)
+			got := &reply{}
+			d.Serve(context.Background(), call(tc.path, "key"), got)
+			if diff := cmp.Diff(tc.want, *got); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff([]int{tc.relayed, 0, 0}, []int{len(relays.calls), len(c.attempts), u.usageCounts["small"]}); diff != "" {
+				t.Errorf("relayed calls, own attempts, usage (-want +got):\n%s", diff)
+			}
+			for _, r := range relays.calls[min(1, len(relays.calls)):] {
+				if strings.HasPrefix(tc.path, "/quick/") && r.Call.LastEvent != "1" {
+					t.Errorf("stream is resumed after event %q, 1 is wanted", r.Call.LastEvent)
+				}
+			}
+		})
+	}
+}
+
+// A call goes to another entry if the upstreams that this one reaches do not suffice.
+func TestCallIsRelayedAfterConnectsFail(t *testing.T) {
+	c, u := &fakeTransport{steps: []step{{fail: true, verdict: sequoiasill.NotRun}}}, &fakePeers{usageCounts: make(map[string]int)}
+	relays := &fakeRelays{entries: 2, steps: []relayStep{{status: 200, body: "good", runs: 1}}}
+	d := newRelayingDispatcher(t, c, u, &fakePaths{}, relays)
+	for range 2 {
+		got := &reply{}
+		d.Serve(context.Background(), call("/once/x", "key"), got)
+		if diff := cmp.Diff(reply{Status: 200, Body: "good", Ended: true}, *got); diff != "" {
+			t.Errorf("response (-want +got):\n%s", diff)
+		}
+	}
+	if len(c.attempts) != 3 {
+		t.Errorf("%d own attempts, 3 by the first call are wanted", len(c.attempts))
+	}
+}
+
+// relayReply records the runs that were told with a response.
+type relayReply struct {
+	reply
+
+	runs int
+}
+
+func (r *relayReply) SetRuns(n int) { r.runs = n }
+
+// An entry serves the calls of others over its own paths only, and charges no quota for them.
+func TestServesRelayedCalls(t *testing.T) {
+	good := step{status: 200, body: "good"}
+	tests := map[string]struct {
+		path, key string
+		state     pathmonitor.State
+		steps     []step
+		before    int // runs before the call was relayed
+		want      reply
+		runs      int
+	}{
+		"a call":                  {"/once/x", "key", pathmonitor.Reachable, []step{good}, 0, reply{Status: 200, Body: "good", Ended: true}, 1},
+		"a quota that is spent":   {"/once/x", "spent", pathmonitor.Reachable, []step{good}, 0, reply{Status: 200, Body: "good", Ended: true}, 1},
+		"a stream":                {"/long/x", "key", pathmonitor.Reachable, []step{{status: 200, events: true, body: "id: 1\ndata: a\n\n"}}, 0, reply{Status: 200, Body: "id: 1\ndata: a\n\n", Ended: true}, 1},
+		"no path from here":       {"/once/x", "key", pathmonitor.Unreachable, []step{good}, 0, reply{Status: 503, Ended: true, RetryAfter: 250}, 0},
+		"two errors":              {"/read/x", "key", pathmonitor.Reachable, []step{{status: 500, body: "bad"}}, 0, reply{Status: 500, Body: "bad", Ended: true}, 2},
+		"an error after a run":    {"/read/x", "key", pathmonitor.Reachable, []step{{status: 500, body: "bad"}, good}, 1, reply{Status: 500, Body: "bad", Ended: true}, 2},
+		"connects that all fail":  {"/once/x", "key", pathmonitor.Reachable, []step{{fail: true, verdict: sequoiasill.NotRun}}, 0, reply{Status: 503, Ended: true, RetryAfter: 250}, 0},
+		"a lost response":         {"/once/x", "key", pathmonitor.Reachable, []step{{fail: true, verdict: sequoiasill.MayHaveRun}}, 0, reply{Status: 502, Ended: true}, 1},
+		"an unknown key":          {"/once/x", "other", pathmonitor.Reachable, []step{good}, 0, reply{Status: 401, Ended: true}, 0},
+		"a stream that broke off": {"/long/x", "key", pathmonitor.Reachable, []step{{status: 200, events: true, body: "id: 1\ndata: a\n\nid", broken: true}}, 0, reply{Status: 200, Body: "id: 1\ndata: a\n\n", WasCut: true}, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, u := &fakeTransport{steps: tc.steps}, &fakePeers{usageCounts: make(map[string]int)}
+			relays := &fakeRelays{entries: 2, steps: []relayStep{{status: 200, body: "relayed again"}}}
+			d := newRelayingDispatcher(t, c, u, &fakePaths{state: tc.state}, relays)
+			if tc.key == "spent" {
+				d.Serve(context.Background(), call("/once/x", "spent"), &reply{})
+			}
+			got := &relayReply{}
+			d.ServeRelayed(context.Background(), call(tc.path, tc.key), tc.before, got)
+			got.RetryAfter = min(got.RetryAfter, 250)
+			if diff := cmp.Diff(tc.want, got.reply); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff([]int{tc.runs, 0}, []int{got.runs, len(relays.calls)}); diff != "" {
+				t.Errorf("runs, calls relayed again (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestAcceptRelayed(t *testing.T) {
+	tests := map[string]struct {
+		service string
+		version uint64
+		play    func(d *dispatcher.Dispatcher, p *fakePaths)
+		want    sequoiasill.Code
+	}{
+		"as usual":              {"plain", 1, func(*dispatcher.Dispatcher, *fakePaths) {}, ""},
+		"an older client":       {"plain", 0, func(*dispatcher.Dispatcher, *fakePaths) {}, ""},
+		"a newer configuration": {"plain", 2, func(*dispatcher.Dispatcher, *fakePaths) {}, sequoiasill.CodeNoUpstream},
+		"no upstream":           {"other", 1, func(*dispatcher.Dispatcher, *fakePaths) {}, sequoiasill.CodeNoUpstream},
+		"no path":               {"plain", 1, func(_ *dispatcher.Dispatcher, p *fakePaths) { p.set(pathmonitor.Unreachable) }, sequoiasill.CodeNoUpstream},
+		"paths in doubt":        {"plain", 1, func(_ *dispatcher.Dispatcher, p *fakePaths) { p.set(pathmonitor.InDoubt) }, sequoiasill.CodeNoUpstream},
+		"an entry that leaves":  {"plain", 1, func(d *dispatcher.Dispatcher, _ *fakePaths) { d.SetShutdownTime(1) }, sequoiasill.CodeLeaving},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := &fakePaths{}
+			d := newRelayingDispatcher(t, &fakeTransport{}, &fakePeers{}, p, &fakeRelays{})
+			tc.play(d, p)
+			got := sequoiasill.Code("")
+			if f := d.AcceptRelayed(tc.service, tc.version); f != nil {
+				got = f.Code
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("refusal (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Connections that break with the paths of this entry are no evidence against requests or versions.
+func TestBrokenPathsChargeNobody(t *testing.T) {
+	tests := map[string]struct {
+		settles pathmonitor.State
+		charges int
+		records []string
+	}{
+		"paths are sound":      {pathmonitor.Reachable, 1, []string{"plain once  failed true"}},
+		"no upstream is found": {pathmonitor.Unreachable, 0, nil},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, u := &fakeTransport{steps: []step{{fail: true, verdict: sequoiasill.MayHaveRun}}}, &fakePeers{usageCounts: make(map[string]int)}
+			p := &fakePaths{state: pathmonitor.InDoubt}
+			d := newRelayingDispatcher(t, c, u, p, &fakeRelays{})
+			d.Serve(context.Background(), call("/once/x", "key"), &reply{})
+			if n := len(d.Charges()); n != 0 {
+				t.Errorf("%d charges while the paths are in doubt", n)
+			}
+			p.set(tc.settles)
+			time.Sleep(200 * time.Millisecond)
+			if diff := cmp.Diff(tc.charges, len(d.Charges())); diff != "" {
+				t.Errorf("charges (-want +got):\n%s", diff)
+			}
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			if diff := cmp.Diff(tc.records, u.records); diff != "" {
+				t.Errorf("evidence on versions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A relayed call draws on the retry budget and adds nothing to it.
+func TestRelayedCallsAddNothingToTheRetryBudget(t *testing.T) {
+	b := rationer.New(rationer.Limits{Ratio: 1, Slack: 0, Window: 1000}, 1)
+	for range 100 {
+		b.RelayedCall(1000, "plain")
+	}
+	if b.TakeRepeat(1000, b.RelayedCall(1000, "plain")) {
+		t.Error("a repeat is allowed that no call of this entry paid for")
+	}
+}
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -12,6 +12,8 @@
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/partblamer"
+	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
+	"sequoiasill.dev/sequoiasill/decide/peerpicker"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/decide/throttler"
@@ -33,8 +35,11 @@
 	retryBudget    *rationer.Call
 
 	tried        map[string]bool
-	arrivals     int // upstreams that the call reached
-	runs         int // those that may have run it
+	triedPeers   map[string]bool // entries to which the call was offered
+	relayed      bool            // another entry relayed the call
+	notSent      int             // upstreams to which no connection could be made
+	arrivals     int             // upstreams that the call reached
+	runs         int             // those that may have run it
 	refusals     int
 	denials      int    // permits denied by rate limits
 	usageCounted bool   // the call is in its organisation's usage
@@ -54,11 +59,18 @@
 // Serve runs a call and returns when its response has been sent. ctx is cancelled if the
 // caller disconnects.
 func (d *Dispatcher) Serve(ctx context.Context, call *sequoiasill.Call, reply ResponseWriter) {
+	d.serve(ctx, call, reply, func(*job) {})
+}
+
+// serve runs a call. prepare sets what is known of the call before it is admitted.
+func (d *Dispatcher) serve(ctx context.Context, call *sequoiasill.Call, reply ResponseWriter, prepare func(j *job)) {
 	d.active.Add(1)
 	defer d.active.Add(-1)
-	j, failure := d.admit(call, reply)
+	j := &job{call: call, reply: reply, tried: make(map[string]bool), triedPeers: make(map[string]bool), lastEvent: call.LastEvent}
+	prepare(j)
+	failure := d.admit(j)
 	if failure != nil {
-		d.refuse(call, reply, failure)
+		d.refuse(call, j.reply, failure)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, (j.deadline - d.clock.Now()).Duration())
@@ -73,24 +85,25 @@
 	reply.Refuse(f)
 }
 
-// admit looks up the route and the organisation, sets the deadline and charges the quota. It
-// refuses a call that has no time left, a stream that arrives shortly before a shutdown, and a
+// admit looks up the route and the organisation, sets the deadline and charges the quota unless the
+// entry that relayed the call has done so. It refuses a call that has no time left, a stream that arrives shortly before a shutdown, and a
 // quarantined request.
-func (d *Dispatcher) admit(call *sequoiasill.Call, reply ResponseWriter) (*job, *sequoiasill.Failure) {
+func (d *Dispatcher) admit(j *job) *sequoiasill.Failure {
+	call := j.call
 	t := d.traffic.Load()
 	if t == nil {
-		return nil, sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeNoUpstream, http.StatusServiceUnavailable,
+		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeNoUpstream, http.StatusServiceUnavailable,
 			"no configuration yet").WithRetryAfter(d.opts.RetryAfter)
 	}
 	route, ok := t.Route(call.Host, call.Path())
 	if !ok {
-		return nil, sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeNotFound, http.StatusNotFound,
+		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeNotFound, http.StatusNotFound,
 			"no route for this host and path in configuration %d", t.Version)
 	}
-	j := &job{call: call, route: route, trafficVersion: t.Version, reply: reply, tried: make(map[string]bool), lastEvent: call.LastEvent}
+	j.route, j.trafficVersion = route, t.Version
 	if !route.Anonymous && len(t.Accounts) > 0 {
 		if j.account, ok = t.AccountByKey(call.Key); !ok {
-			return nil, sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeUnauthorised, http.StatusUnauthorized,
+			return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeUnauthorised, http.StatusUnauthorized,
 				"unknown key in configuration %d", t.Version)
 		}
 	}
@@ -103,26 +116,26 @@
 		j.deadline = end
 	}
 	if j.deadline <= d.clock.Now() {
-		return nil, sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeDeadline, http.StatusServiceUnavailable,
+		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeDeadline, http.StatusServiceUnavailable,
 			"no time left on arrival")
 	}
 	if end := sequoiasill.Millis(d.shutdownAt.Load()); end > 0 && route.Kind == sequoiasill.Streaming && end-d.clock.Now() < d.opts.TypicalStreamDuration {
-		return nil, sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeLeaving, http.StatusServiceUnavailable,
+		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeLeaving, http.StatusServiceUnavailable,
 			"entry ends in %s", end-d.clock.Now()).WithRetryAfter(drainRetryAfter)
 	}
 	j.fingerprint = fingerprint(call, j.account)
 	if failure := d.checkQuarantine(j); failure != nil {
-		return nil, failure
+		return failure
 	}
 	j.parts = partblamer.PartsOf(call.Prompt)
 	if failure := d.screen(j); failure != nil {
-		return nil, failure
+		return failure
 	}
 	if wait, ok := d.takeQuota(j); !ok {
-		return nil, sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeOverloaded, http.StatusTooManyRequests,
+		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeOverloaded, http.StatusTooManyRequests,
 			"allowance of %s is spent", j.account.Name).WithRetryAfter(wait)
 	}
-	return j, nil
+	return nil
 }
 
 // drainRetryAfter is the delay before a retry for callers that a draining entry refuses. It is
@@ -130,12 +143,16 @@
 const drainRetryAfter = 20 * sequoiasill.Millis(1)
 
 // takeQuota charges the cost of the call to the organisation's quota, and counts the call
-// towards the retry budget of its service. If the quota is exhausted, it returns false and the
+// towards the retry budget of its service. For a relayed call, the entry that relayed it does both. If the quota is exhausted, it returns false and the
 // time to wait before a retry.
 func (d *Dispatcher) takeQuota(j *job) (sequoiasill.Millis, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
+	if j.relayed {
+		j.retryBudget = d.rationer.RelayedCall(now, j.service)
+		return 0, true
+	}
 	if j.account != nil {
 		if wait, ok := d.allotter.Take(now, j.account, j.account.Cost(j.call.Prompt)); !ok {
 			d.log.Debug("allowance is spent", "request", j.call.ID, "organisation", j.account.Name,
@@ -149,7 +166,7 @@
 
 // refundQuota refunds the cost of a call that was not run.
 func (d *Dispatcher) refundQuota(j *job) {
-	if j.account == nil {
+	if j.account == nil || j.relayed {
 		return
 	}
 	d.mu.Lock()
@@ -174,12 +191,18 @@
 			d.finishQuarantined(ctx, j, failure)
 			return
 		}
-		p, ok := d.place(ctx, j)
+		p, ok := d.nextPlacement(ctx, j)
 		if !ok {
 			d.finish(ctx, j, noUpstreamReason(j))
 			return
 		}
-		n, reason := d.attempt(ctx, j, p)
+		var n nextStep
+		var reason string
+		if p.relay != nil {
+			n, reason = d.attemptRelay(ctx, j, *p.relay)
+		} else {
+			n, reason = d.attempt(ctx, j, p)
+		}
 		switch {
 		case n == done:
 			return
@@ -223,8 +246,9 @@
 	return "no upstream left"
 }
 
-// placement is the chosen upstream of an attempt.
+// placement is the chosen upstream of an attempt, or the entry to which the call is relayed.
 type placement struct {
+	relay  *peerpicker.Peer // nil unless the call is relayed
 	choice assigner.Choice
 	permit *throttler.Permit // nil if the upstream has no rate limit
 	send   *rationer.Send
@@ -280,9 +304,13 @@
 	}, candidates)
 }
 
-// hasAlternative reports whether there is an untried upstream that needs no permit. The caller
-// holds the lock.
+// hasAlternative reports whether there is an untried upstream that needs no permit, or another entry
+// if this one reaches no upstream. The caller holds the lock.
 func (d *Dispatcher) hasAlternative(now sequoiasill.Millis, j *job) bool {
+	if d.paths.State(j.service) == pathmonitor.Unreachable {
+		_, ok := d.pickRelay(j)
+		return ok
+	}
 	_, ok := d.chooseFrom(j, unlimited(d.candidatesForVersion(j, d.registrar.Candidates(now, j.service))))
 	return ok
 }
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -28,7 +28,7 @@
 	}
 	f := &forwarder{try: t, response: a, timer: timer}
 	err := f.copy()
-	t.runs++
+	t.countRun(a)
 	a.Close(err == nil)
 	e := classifier.End{Kind: classifier.Truncated, CallerDisconnected: f.callerGone || callerDisconnected(ctx), EndedHere: ctx.Err() != nil}
 	switch {
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -184,6 +184,7 @@
 	targetAddress    string                    // address of the entry that announced it
 	stateVersion     uint64                    // version of the last state sent
 	recentDemands    []Demand                  // own demand in the last reports, oldest first
+	unreachable      []string                  // services whose upstreams this entry does not reach
 	storeUnavailable bool                      // the store is unavailable to this entry
 
 	spent      map[string]float64 // by all entries that report to this collector, per organisation
@@ -291,6 +292,7 @@
 			e.pull()
 		case <-limitCheck.C:
 			e.checkLimits()
+			e.renewUnreachable()
 			e.exchangeCrashes()
 		case <-e.screener.Changed():
 			e.exchangeCrashes()
--- a/relay/exchanger/facts.go
+++ b/relay/exchanger/facts.go
@@ -93,7 +93,7 @@
 	case strings.HasPrefix(f.Key, keyCensus):
 		e.handleCensus(f)
 	case e.handlePartFact(f):
-	case f.Key != keyHolder && f.Key != keyUsage && !strings.HasPrefix(f.Key, keyUnavailable):
+	case f.Key != keyHolder && f.Key != keyUsage && !strings.HasPrefix(f.Key, keyUnavailable) && !strings.HasPrefix(f.Key, keyUnreachable):
 		e.moves.HandleFact(f)
 	}
 }
--- /dev/null
+++ b/relay/relayer/server.go
@@ -0,0 +1,163 @@
+package relayer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/relay/dispatcher"
+	"sequoiasill.dev/sequoiasill/relay/relaypb"
+)
+
+// Dispatcher serves calls that other entries relayed.
+type Dispatcher interface {
+	// AcceptRelayed decides whether a call of a service is served. It returns the refusal if not.
+	AcceptRelayed(service string, trafficVersion uint64) *sequoiasill.Failure
+	ServeRelayed(ctx context.Context, call *sequoiasill.Call, runs int, reply dispatcher.RelayWriter)
+}
+
+// maxCallDelay is how long after the acceptance of its offer a call is served. The entry that sent
+// one which comes later may have been suspended, or this one.
+const maxCallDelay = sequoiasill.Second
+
+// Server serves calls that other entries relayed, until Close.
+type Server struct {
+	relaypb.UnimplementedRelayServer
+
+	dispatcher Dispatcher
+	clock      sequoiasill.Clock
+	log        hclog.Logger
+	server     *grpc.Server
+}
+
+// NewServer serves calls on l.
+func NewServer(l net.Listener, d Dispatcher, clock sequoiasill.Clock, log hclog.Logger) *Server {
+	s := &Server{dispatcher: d, clock: clock, log: log.Named("relayer")}
+	s.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes))
+	relaypb.RegisterRelayServer(s.server, s)
+	go func() {
+		if err := s.server.Serve(l); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+			s.log.Error("serving calls of other entries ended", "error", err)
+		}
+	}()
+	return s
+}
+
+// Shutdown waits for the calls in progress, at most for timeout, and closes the server.
+func (s *Server) Shutdown(timeout sequoiasill.Millis) {
+	timer := time.AfterFunc(timeout.Duration(), s.server.Stop)
+	defer timer.Stop()
+	s.server.GracefulStop()
+}
+
+// Close closes the server.
+func (s *Server) Close() { s.server.Stop() }
+
+// Serve implements relaypb.RelayServer.
+func (s *Server) Serve(stream relaypb.Relay_ServeServer) error {
+	r, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	offer := r.GetOffer()
+	if offer == nil {
+		return status.Error(codes.InvalidArgument, "no offer")
+	}
+	if f := s.dispatcher.AcceptRelayed(offer.GetService(), offer.GetTrafficVersion()); f != nil {
+		return stream.Send(encodeRefusal(f, 0))
+	}
+	acceptedAt := s.clock.Now()
+	if err := stream.Send(&relaypb.ServeResponse{Part: &relaypb.ServeResponse_Accepted{Accepted: &relaypb.Accepted{}}}); err != nil {
+		return err
+	}
+	if r, err = stream.Recv(); err != nil {
+		return err
+	}
+	call := r.GetCall()
+	if call == nil {
+		return status.Error(codes.InvalidArgument, "no call")
+	}
+	now := s.clock.Now()
+	if now-acceptedAt > maxCallDelay {
+		return stream.Send(encodeRefusal(sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeNoUpstream, http.StatusServiceUnavailable,
+			"call came %s after its offer was accepted", now-acceptedAt), int(call.GetRuns())))
+	}
+	w := &writer{stream: stream}
+	s.dispatcher.ServeRelayed(stream.Context(), decodeCall(call, now), int(call.GetRuns()), w)
+	if w.aborted {
+		stream.SetTrailer(metadata.Pairs(runsTrailer, strconv.Itoa(w.runs)))
+		return status.Error(codes.Aborted, "response broke off")
+	}
+	return nil
+}
+
+// maxDataBytes bounds the size of a message with a part of a body.
+const maxDataBytes = 256 << 10
+
+// writer implements dispatcher.RelayWriter.
+type writer struct {
+	stream  relaypb.Relay_ServeServer
+	aborted bool
+	runs    int
+}
+
+// SetRuns implements dispatcher.RelayWriter.
+func (w *writer) SetRuns(n int) { w.runs = n }
+
+func (w *writer) sendHead(code int, header http.Header, events bool) error {
+	return w.stream.Send(&relaypb.ServeResponse{Part: &relaypb.ServeResponse_Head{Head: &relaypb.Head{Status: int32(code), Header: encodeHeader(header), EventStream: events, Runs: int32(w.runs)}}})
+}
+
+// SendWhole implements dispatcher.ResponseWriter.
+func (w *writer) SendWhole(code int, header http.Header, body []byte) error {
+	if err := w.sendHead(code, header, false); err != nil {
+		return errors.Annotate(err, "send head")
+	}
+	if err := w.Write(body); err != nil {
+		return err
+	}
+	return w.End()
+}
+
+// Refuse implements dispatcher.ResponseWriter.
+func (w *writer) Refuse(f *sequoiasill.Failure) {
+	if err := w.stream.Send(encodeRefusal(f, w.runs)); err != nil {
+		w.aborted = true
+	}
+}
+
+// Begin implements dispatcher.ResponseWriter.
+func (w *writer) Begin(code int, header http.Header) error {
+	return errors.Annotate(w.sendHead(code, header, true), "send head")
+}
+
+// Write implements dispatcher.ResponseWriter.
+func (w *writer) Write(b []byte) error {
+	for len(b) > 0 {
+		n := min(len(b), maxDataBytes)
+		if err := w.stream.Send(&relaypb.ServeResponse{Part: &relaypb.ServeResponse_Data{Data: b[:n]}}); err != nil {
+			return errors.Annotate(err, "send data")
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+// End implements dispatcher.ResponseWriter.
+func (w *writer) End() error {
+	return errors.Annotate(w.stream.Send(&relaypb.ServeResponse{Part: &relaypb.ServeResponse_End{End: &relaypb.End{Runs: int32(w.runs)}}}), "send end")
+}
+
+// Abort implements dispatcher.ResponseWriter.
+func (w *writer) Abort() { w.aborted = true }
