Soak: entries connect to replicas from their own addresses

The proxies found the entry behind a connection in the kernel's table of sockets. Beside other tests that table has thousands of lines, each accept read it several times, and the soak's process grew without bound: go test of standin/soaker and of cmd/scenarios, run together with another soak, took all memory and were killed after 11 minutes. sequoia-edge now has a flag for the source address of its connections to upstreams, and the soak reads the entry from it.

--- a/cmd/sequoia-edge/main.go
+++ b/cmd/sequoia-edge/main.go
@@ -25,6 +25,7 @@
 	path := app.Flag("settings", "Settings file that the platform writes.").Envar(loader.PathVariable).Required().String()
 	level := app.Flag("log-level", "Minimum level of log lines: debug, info, warn or error.").Default("info").
 		Enum("debug", "info", "warn", "error")
+	source := app.Flag("upstream-source", "Local IP address of the connections to upstreams; empty for any.").Envar("SEQUOIA_UPSTREAM_SOURCE").IP()
 	launcher.Parse(app)
 
 	// The reloader reads the file before the settings are loaded, so it detects any
@@ -35,6 +36,7 @@
 		problems = append(problems, err.Error())
 	}
 	launcher.ExitOnFaults(os.Stderr, problems)
+	settings.UpstreamSource = *source
 
 	spool := spooler.New(spooler.DefaultOptions(), os.Stdout)
 	code := run(settings, settingsReloader, signaller.Incoming(), newLog(spool, *level).With("entry", settings.Instance))
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -22,6 +22,7 @@
 // Options configure a Connector.
 type Options struct {
 	DialTimeout sequoiasill.Millis
+	Source      net.IP // local address of the connections, nil for any
 	// IdleTimeout is the idle timeout of a connection if the upstream announces none.
 	IdleTimeout sequoiasill.Millis
 	// IdleTimeoutPercent is the percentage of an announced idle timeout for which an idle
@@ -107,6 +108,9 @@
 			},
 		},
 	}
+	if opts.Source != nil {
+		c.dialer.LocalAddr = &net.TCPAddr{IP: opts.Source}
+	}
 	go func() {
 		tick := time.NewTicker(sweepInterval)
 		defer tick.Stop()
--- a/standin/soaker/entry.go
+++ b/standin/soaker/entry.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(e.harness.opts.Binary, "--settings", path)
+	cmd := exec.Command(e.harness.opts.Binary, "--settings", path, "--upstream-source", e.ip())
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		_ = out.Close()
--- a/standin/soaker/partitions.go
+++ b/standin/soaker/partitions.go
@@ -4,11 +4,7 @@
 	"fmt"
 	"maps"
 	"net"
-	"os"
-	"path/filepath"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -35,7 +31,7 @@
 // partitions is the state of the paths between entries and replicas. It is safe for concurrent use.
 type partitions struct {
 	// sender returns the number of the entry that opened a connection, or -1 if it is unknown.
-	sender func(accepted net.Conn) int
+	sender func(remote net.Addr) int
 
 	mu      sync.Mutex
 	active  map[int]partition // by entry
@@ -43,7 +39,7 @@
 	changed chan struct{}     // closed and replaced when active changes
 }
 
-func newPartitions(sender func(net.Conn) int) *partitions {
+func newPartitions(sender func(net.Addr) int) *partitions {
 	return &partitions{sender: sender, active: make(map[int]partition), endedAt: make(map[int]time.Time), changed: make(chan struct{})}
 }
 
@@ -123,82 +119,14 @@
 	}
 }
 
-// senderLookups is how often the owner of a socket is looked up: the table of sockets misses some
-// while others come and go.
-const (
-	senderLookups        = 10
-	senderLookupInterval = time.Millisecond
-)
-
-// senderOf returns the number of the entry that opened a connection, or -1 if none did.
-func (h *Harness) senderOf(accepted net.Conn) int {
-	for range senderLookups {
-		if n := h.findSender(accepted); n >= 0 {
-			return n
-		}
-		time.Sleep(senderLookupInterval)
-	}
-	return -1
-}
-
-// findSender looks for the process that owns the socket, as all entries connect from the same
-// address.
-func (h *Harness) findSender(accepted net.Conn) int {
-	inode, ok := peerInode(accepted)
+// senderOf returns the number of the entry that opened a connection, or -1 if none did. Entries
+// connect to replicas from their own addresses.
+func (h *Harness) senderOf(remote net.Addr) int {
+	tcp, ok := remote.(*net.TCPAddr)
 	if !ok {
 		return -1
 	}
-	for _, e := range h.entries {
-		e.mu.Lock()
-		process := e.process
-		e.mu.Unlock()
-		if process != nil && ownsSocket(process.Pid, inode) {
-			return e.number
-		}
-	}
-	return -1
-}
-
-// tableAddress returns an IPv4 address and port as in the kernel's table of sockets.
-func tableAddress(a net.Addr) string {
-	tcp, ok := a.(*net.TCPAddr)
-	if !ok || tcp.IP.To4() == nil {
-		return ""
-	}
-	ip := tcp.IP.To4()
-	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
-}
-
-// peerInode returns the inode of the socket at the other end of an accepted connection.
-func peerInode(accepted net.Conn) (string, bool) {
-	local, remote := tableAddress(accepted.RemoteAddr()), tableAddress(accepted.LocalAddr())
-	table, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return "", false
-	}
-	for line := range strings.Lines(string(table)) {
-		fields := strings.Fields(line)
-		if len(fields) > 9 && fields[1] == local && fields[2] == remote {
-			return fields[9], true
-		}
-	}
-	return "", false
-}
-
-// ownsSocket reports whether a process has a socket open.
-func ownsSocket(pid int, inode string) bool {
-	dir := filepath.Join("/proc", strconv.Itoa(pid), "fd")
-	files, err := os.ReadDir(dir)
-	if err != nil {
-		return false
-	}
-	want := "socket:[" + inode + "]"
-	for _, f := range files {
-		if target, err := os.Readlink(filepath.Join(dir, f.Name())); err == nil && target == want {
-			return true
-		}
-	}
-	return false
+	return slices.IndexFunc(h.entries, func(e *entry) bool { return e.ip() == tcp.IP.String() })
 }
 
 // Bounds on how much worse callers of partitioned entries may be served.
--- a/standin/soaker/proxy.go
+++ b/standin/soaker/proxy.go
@@ -155,7 +155,7 @@
 	if p.paths == nil {
 		return -1, true
 	}
-	sender = p.paths.sender(client)
+	sender = p.paths.sender(client.RemoteAddr())
 	state, _ := p.paths.state(sender)
 	return sender, state != refuse
 }
