Keep connections to upstreams that are silent for a second or two

Connections ended after 1.5 s of silence: on Linux the user timeout, which was set for unacknowledged data, also ends a connection whose keep-alive probes are unanswered, whatever their count. The user timeout is 3 s; relayed calls use the same dialer, so that a connection to an entry that lost its power ends too.

TestConnectionsSurviveShortSilence failed before (1500 ms).

--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -30,7 +30,8 @@
 	IdleTimeoutPercent int
 	// UserTimeout is how long sent data may stay unacknowledged before the connection is
 	// closed, and KeepAliveInterval is the interval of keep-alive probes on a connection without
-	// traffic.
+	// traffic. On Linux UserTimeout also decides when unanswered probes close the connection, so
+	// that it must exceed the time for which a sound upstream may be silent.
 	UserTimeout       sequoiasill.Millis
 	KeepAliveInterval sequoiasill.Millis
 	MaxIdle           int // idle connections per upstream
@@ -45,7 +46,7 @@
 func DefaultOptions() Options {
 	return Options{
 		DialTimeout: 500, IdleTimeout: 3 * sequoiasill.Second, IdleTimeoutPercent: 50,
-		UserTimeout: 1500, KeepAliveInterval: sequoiasill.Second, MaxIdle: 16, MaxHeaderBytes: 64 << 10,
+		UserTimeout: 3 * sequoiasill.Second, KeepAliveInterval: sequoiasill.Second, MaxIdle: 16, MaxHeaderBytes: 64 << 10,
 	}
 }
 
@@ -69,7 +70,7 @@
 type Connector struct {
 	opts   Options
 	clock  sequoiasill.Clock
-	dialer net.Dialer
+	dialer *net.Dialer
 	stop   chan struct{}
 	once   sync.Once
 
@@ -100,13 +101,7 @@
 func New(opts Options, clock sequoiasill.Clock) *Connector {
 	c := &Connector{
 		opts: opts, clock: clock, idle: make(map[string][]*conn), stop: make(chan struct{}),
-		dialer: net.Dialer{
-			Timeout: opts.DialTimeout.Duration(),
-			Control: userTimeoutControl(opts.UserTimeout),
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: opts.KeepAliveInterval.Duration(), Interval: opts.KeepAliveInterval.Duration(), Count: 2,
-			},
-		},
+		dialer: Dialer(opts),
 	}
 	if opts.Source != nil {
 		c.dialer.LocalAddr = &net.TCPAddr{IP: opts.Source}
@@ -126,6 +121,17 @@
 	return c
 }
 
+// keepAlive returns the configuration of keep-alive probes. Their count has no effect, as the user
+// timeout is set.
+func keepAlive(interval sequoiasill.Millis) net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: interval.Duration(), Interval: interval.Duration(), Count: 2}
+}
+
+// Dialer returns a dialer of connections that end when the other end is silent for the user timeout.
+func Dialer(opts Options) *net.Dialer {
+	return &net.Dialer{Timeout: opts.DialTimeout.Duration(), Control: userTimeoutControl(opts.UserTimeout), KeepAliveConfig: keepAlive(opts.KeepAliveInterval)}
+}
+
 // Close closes all idle connections.
 func (c *Connector) Close() {
 	c.once.Do(func() {
--- a/relay/connector/connector_test.go
+++ b/relay/connector/connector_test.go
@@ -310,3 +310,10 @@
 		t.Errorf("connections (-want +got):\n%s", diff)
 	}
 }
+
+// A sound upstream may be silent for a second or so, also during two keep-alive probes.
+func TestConnectionsSurviveShortSilence(t *testing.T) {
+	if got, least := connector.DefaultOptions().UserTimeout, 2500*sequoiasill.Millis(1); got < least {
+		t.Errorf("connections end after %s of silence, at least %s are wanted", got, least)
+	}
+}
--- a/relay/relayer/client.go
+++ b/relay/relayer/client.go
@@ -17,6 +17,7 @@
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/peerpicker"
+	"sequoiasill.dev/sequoiasill/relay/connector"
 	"sequoiasill.dev/sequoiasill/relay/dispatcher"
 	"sequoiasill.dev/sequoiasill/relay/relaypb"
 )
@@ -167,7 +168,7 @@
 	if conn, ok := c.conns[address]; ok {
 		return conn, nil
 	}
-	dialer := &net.Dialer{}
+	dialer := connector.Dialer(connector.DefaultOptions())
 	conn, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithIdleTimeout(idleTimeout), grpc.WithNoProxy(),
 		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes),
