Move stalled attempts to another entry when all paths are lost

In a partition that holds data back, a call in progress waited for the user timeout before it was resumed, now 3 s, and most callers leave a stream before. An entry that finds itself without a path to a service now cancels the attempts there that made no progress for 400 ms, may be retried and fit the retry budget; the calls go on at another entry.

TestStalledAttemptIsRelayedWhenPathsAreLost fails without the change.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -46,6 +46,7 @@
 	limit            registrar.Limit    // rate limit that the response carries
 	relay            bool               // another entry serves the call
 	permit           *throttler.Permit  // nil if the upstream has no rate limit
+	lastData         sequoiasill.Millis // when the response last made progress; guarded by the dispatcher's lock
 	maybeSent        bool               // part of the request may have been sent
 	cancel           context.CancelCauseFunc
 }
@@ -68,6 +69,7 @@
 	if j.account != nil {
 		a.Organisation = j.account.Name
 	}
+	defer t.track()()
 	timer := newAttemptTimer(t)
 	defer timer.stop()
 	response, err := d.transport.Send(attemptCtx, a)
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -225,6 +225,46 @@
 // RelayedCalls returns the number of calls in progress that other entries relayed.
 func (d *Dispatcher) RelayedCalls() int { return int(d.relayedCalls.Load()) }
 
+// track registers the attempt until the returned function is called.
+func (t *try) track() (end func()) {
+	t.d.mu.Lock()
+	defer t.d.mu.Unlock()
+	t.lastData = t.started
+	t.d.tries[t] = true
+	return func() {
+		t.d.mu.Lock()
+		defer t.d.mu.Unlock()
+		delete(t.d.tries, t)
+	}
+}
+
+// recordProgress records that data of the response arrived.
+func (t *try) recordProgress() {
+	t.d.mu.Lock()
+	defer t.d.mu.Unlock()
+	t.lastData = t.d.clock.Now()
+}
+
+// stalledTime is how long an attempt must have made no progress to be moved to another entry when
+// this one loses its paths. Connections may live on while new ones fail.
+const stalledTime = 400 * sequoiasill.Millis(1)
+
+// PathsLost cancels the attempts at a service that do not progress any more, now that this entry
+// reaches no upstream of it, if their calls may be retried and the retry budget allows it.
+func (d *Dispatcher) PathsLost(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	for t := range d.tries {
+		if t.service != service || !t.route.MayRetry() || now-t.lastData < stalledTime {
+			continue
+		}
+		if _, ok := d.pickRelay(t.job); ok && d.rationer.TakeRepeat(now, t.retryBudget) {
+			t.cancel(errAttemptTimeout)
+		}
+	}
+}
+
 // PathsRestored gives the upstreams of a service that this entry reaches again a fresh start: their
 // failed connects were due to the paths.
 func (d *Dispatcher) PathsRestored(service string) {
--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -297,6 +297,35 @@
 	}
 }
 
+// An attempt that no longer progresses goes to another entry once no upstream is reached.
+func TestStalledAttemptIsRelayedWhenPathsAreLost(t *testing.T) {
+	tests := map[string]struct {
+		path    string
+		wait    time.Duration
+		relayed int
+	}{
+		"what may be retried":     {"/quick/x", 500 * time.Millisecond, 1},
+		"what runs once":          {"/once/x", 500 * time.Millisecond, 0},
+		"what has just been sent": {"/quick/x", 50 * time.Millisecond, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, u := &fakeTransport{steps: []step{{hang: true}}}, &fakePeers{usageCounts: make(map[string]int)}
+			paths, relays := &fakePaths{}, &fakeRelays{entries: 1, steps: []relayStep{{status: 200, events: true, body: "id: 1\ndata: a\n\n", runs: 2}}}
+			d := newRelayingDispatcher(t, c, u, paths, relays)
+			time.AfterFunc(tc.wait, func() {
+				paths.set(pathmonitor.Unreachable)
+				d.PathsLost("plain")
+			})
+			d.Serve(context.Background(), call(tc.path, "key"), &reply{})
+			if diff := cmp.Diff(tc.relayed, len(relays.calls)); diff != "" {
+				t.Errorf("relayed calls (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A relayed call draws on the retry budget and adds nothing to it.
 func TestRelayedCallsAddNothingToTheRetryBudget(t *testing.T) {
 	b := rationer.New(rationer.Limits{Ratio: 1, Slack: 0, Window: 1000}, 1)
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -118,6 +118,7 @@
 		f.d.WithRegistrar(func(r *registrar.Registrar) { r.FirstEvent(f.choice.Replica.Name, f.prefill) })
 		f.prefill = 0
 	}
+	f.recordProgress()
 	if !f.headerSent {
 		if err := f.reply.Begin(f.response.Status, f.response.Header); err != nil {
 			return err
