Send brittle upstreams only what fits their slots

Nothing read the header; entries sent to the upstream that looked best in the same, old reports, and on to the next ones after a rejection.

While a service is brittle, an entry sends an upstream calls within its share of 0.8 of the slots, rounded at random so that all shares together fit however many entries send at a time, and more where a recent report tells of room. After a rejection it pauses so long that all entries cause at most half of the rejections that the upstream withstands. A call is sent at most twice; what finds no room is refused at once. Entries tell each other.

--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -87,6 +87,8 @@
 	removed      []Removal              // removals that Tick has not returned yet
 	drainNotices map[string]drainNotice // by upstream name
 	rand         *rand.Rand
+	entries      int                     // that send calls to the upstreams
+	brittle      map[string]*brittleness // by service
 }
 
 // drainNotice records that an incarnation of an upstream announced its shutdown. It
@@ -123,14 +125,16 @@
 	backoffUntil     sequoiasill.Millis
 	pausedUntil      sequoiasill.Millis // end of the pause that it requested
 	limit            limit
-	slowStartWindow  int // maximum calls in flight while it resumes after a pause, 0 for no limit
-	callsBeforePause int // calls in flight that were sent before the pause
+	slowStartWindow  int                // maximum calls in flight while it resumes after a pause, 0 for no limit
+	rounding         float64            // of this entry's share of its slots, from 0 to 1
+	rejectedUntil    sequoiasill.Millis // end of the time without calls after a rejection while it is brittle
+	callsBeforePause int                // calls in flight that were sent before the pause
 }
 
 // New returns a Registrar without upstreams. The seed makes its jitter reproducible.
 func New(opts Options, seed uint64) *Registrar {
 	return &Registrar{
-		opts: opts, replicas: make(map[string]*state), drainNotices: make(map[string]drainNotice), rand: rand.New(rand.NewPCG(seed, 0)),
+		opts: opts, entries: 1, replicas: make(map[string]*state), brittle: make(map[string]*brittleness), drainNotices: make(map[string]drainNotice), rand: rand.New(rand.NewPCG(seed, 0)),
 	}
 }
 
@@ -144,7 +148,7 @@
 	if !known || n.StartedAt > s.replica.StartedAt || s.removed || n.Address != s.replica.Address {
 		// A new incarnation starts with fresh state, except that calls of this entry to the
 		// previous one are still in flight and must be counted down.
-		next := &state{replica: n, decayedAt: now}
+		next := &state{replica: n, decayedAt: now, rounding: r.rand.Float64()}
 		if known {
 			next.inFlight, next.prefill = s.inFlight, s.prefill
 		}
@@ -241,7 +245,7 @@
 		if s.replica.Service != service || s.removed || s.replica.Draining {
 			continue
 		}
-		wait := max(s.pausedUntil, s.backoffUntil, s.limit.deniedUntil) - now
+		wait := max(s.pausedUntil, s.backoffUntil, s.limit.deniedUntil, s.rejectedUntil) - now
 		if wait <= 0 {
 			return 0, false
 		}
@@ -375,7 +379,10 @@
 	case Succeeded:
 		s.backoff = 0
 		s.growWindow()
-	case Failed, Refused:
+	case Refused:
+		s.failures++
+		r.recordRejection(now, s)
+	case Failed:
 		s.failures++
 	case Unreachable:
 		s.failures++
@@ -414,11 +421,15 @@
 // name.
 func (r *Registrar) Candidates(now sequoiasill.Millis, service string) []Candidate {
 	var out []Candidate
+	brittle := r.IsBrittle(now, service)
 	for _, s := range r.replicas {
-		if s.replica.Service == service && s.usable(now) {
+		if s.replica.Service == service && s.usable(now) && (!brittle || s.hasRoom(now, r.entries)) {
 			out = append(out, s.candidate(now, r.opts))
 		}
 	}
+	if brittle && len(out) > 0 {
+		out = r.sampleCandidates(out)
+	}
 	slices.SortFunc(out, func(a, b Candidate) int { return strings.Compare(a.Replica.Name, b.Replica.Name) })
 	return out
 }
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -42,15 +42,16 @@
 // called.
 type Response struct {
 	Status        int
-	Header        http.Header        // header fields to forward to the caller
-	Refused       bool               // the upstream states that it did not run the call
-	Misdirected   bool               // the address now belongs to another upstream
-	Authentic     bool               // authenticated as the upstream's response to this call
-	EventStream   bool               // the body is an event stream
-	UntilClose    bool               // the body has no framing and ends when the upstream closes the connection
-	Draining      bool               // the upstream is draining
-	Pause         sequoiasill.Millis // pause that the upstream requests, 0 for none
-	Limit         registrar.Limit    // rate limit that the upstream applies to the calls of all entries
+	Header        http.Header           // header fields to forward to the caller
+	Refused       bool                  // the upstream states that it did not run the call
+	Misdirected   bool                  // the address now belongs to another upstream
+	Authentic     bool                  // authenticated as the upstream's response to this call
+	EventStream   bool                  // the body is an event stream
+	UntilClose    bool                  // the body has no framing and ends when the upstream closes the connection
+	Draining      bool                  // the upstream is draining
+	Pause         sequoiasill.Millis    // pause that the upstream requests, 0 for none
+	Limit         registrar.Limit       // rate limit that the upstream applies to the calls of all entries
+	Brittle       registrar.Brittleness // whether the upstream withstands few rejected calls
 	Load          registrar.Load
 	HasLoad       bool
 	NewConnection bool       // the request was the first one on its connection
@@ -86,6 +87,9 @@
 	// AnnounceQuarantine announces a quarantined request, which crashes upstreams and is
 	// refused until the given time.
 	AnnounceQuarantine(f blamer.Fingerprint, until sequoiasill.Millis)
+	// AnnounceBrittle announces that the upstreams of a service are brittle, and how many rejected
+	// calls in a second each withstands.
+	AnnounceBrittle(service string, rejections float64)
 	// AnnounceDraining announces that an upstream incarnation is draining.
 	AnnounceDraining(upstream string, startedAt sequoiasill.Millis)
 	Limits
@@ -169,6 +173,8 @@
 	SmallResponseBytes int
 	// MaxRefusals is the number of refusals by upstreams after which a call is not retried.
 	MaxRefusals int
+	// MaxBrittleRefusals is the same for upstreams that withstand few rejected calls.
+	MaxBrittleRefusals int
 	// MaxDenials is the number of denied permits after which a call is sent only to upstreams
 	// without a rate limit.
 	MaxDenials int
@@ -189,7 +195,7 @@
 
 // DefaultOptions returns the options that entries use.
 func DefaultOptions() Options {
-	return Options{MaxResponseBytes: 4 << 20, MaxBufferedBytes: 24 << 20, SmallResponseBytes: 64 << 10, MaxRefusals: 4, MaxDenials: 3, MaxRelays: 3, MaxRelayedCalls: 256, AttemptTimeoutPercent: 150, RetryAfter: 250, TypicalStreamDuration: 4 * sequoiasill.Second}
+	return Options{MaxResponseBytes: 4 << 20, MaxBufferedBytes: 24 << 20, SmallResponseBytes: 64 << 10, MaxRefusals: 4, MaxBrittleRefusals: 2, MaxDenials: 3, MaxRelays: 3, MaxRelayedCalls: 256, AttemptTimeoutPercent: 150, RetryAfter: 250, TypicalStreamDuration: 4 * sequoiasill.Second}
 }
 
 // StateMachines are the state machines that a dispatcher drives.
@@ -272,6 +278,7 @@
 	}
 	d.entries = n
 	d.rationer.SetEntries(n)
+	d.registrar.SetEntries(n)
 	d.allotter.SetEntries(n)
 }
 
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -177,6 +177,12 @@
 	u.draining = append(u.draining, upstream)
 }
 
+func (u *fakePeers) AnnounceBrittle(service string, rejections float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limits = append(u.limits, fmt.Sprintf("%s brittle %g", service, rejections))
+}
+
 func (u *fakePeers) AnnounceLimit(up throttler.Upstream, perSecond float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/relay/dispatcher/feedback.go
+++ b/relay/dispatcher/feedback.go
@@ -21,10 +21,33 @@
 	if a.Pause > 0 {
 		t.d.pauseUpstream(r, a.Pause)
 	}
+	t.d.updateBrittleness(r, a.Brittle)
 	t.limit = a.Limit
 	t.d.updateLimit(r, a.Limit)
 }
 
+// updateBrittleness records what a response says of the brittleness of its upstream, and announces to
+// the other entries that a service has become brittle.
+func (d *Dispatcher) updateBrittleness(r sequoiasill.Replica, b registrar.Brittleness) {
+	var tell bool
+	d.WithRegistrar(func(g *registrar.Registrar) { tell = g.BrittleAnnounced(d.clock.Now(), r, b) })
+	if tell {
+		d.meter.UpstreamSignal("brittle", "answer")
+		d.log.Info("upstreams are brittle", "service", r.Service, "upstream", r.Name, "rejections", b.Rejections, "source", "answer")
+		d.peers.AnnounceBrittle(r.Service, b.Rejections)
+	}
+}
+
+// RecordBrittle records that another entry announced the upstreams of a service as brittle.
+func (d *Dispatcher) RecordBrittle(service string, rejections float64) {
+	var isNew bool
+	d.WithRegistrar(func(g *registrar.Registrar) { isNew = g.BrittleGossiped(d.clock.Now(), service, rejections) })
+	if isNew {
+		d.meter.UpstreamSignal("brittle", "gossip")
+		d.log.Info("upstreams are brittle", "service", service, "rejections", rejections, "source", "gossip")
+	}
+}
+
 // RecordDraining records that an upstream incarnation is draining. It returns false if that was
 // already known.
 func (d *Dispatcher) RecordDraining(name string, startedAt sequoiasill.Millis, source string) bool {
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -322,10 +322,20 @@
 	d.rationer.ReturnUnsent(j.retryBudget)
 }
 
+// maxRefusals returns the number of refusals after which the call is not retried.
+func (d *Dispatcher) maxRefusals(j *job) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.registrar.IsBrittle(d.clock.Now(), j.service) {
+		return d.opts.MaxBrittleRefusals
+	}
+	return d.opts.MaxRefusals
+}
+
 // mayRetry reports whether the call may be retried, and takes a retry from the budget if it
 // needs one.
 func (d *Dispatcher) mayRetry(j *job) bool {
-	if j.runs >= j.route.MaxAttempts || j.refusals >= d.opts.MaxRefusals {
+	if j.runs >= j.route.MaxAttempts || j.refusals >= d.maxRefusals(j) {
 		return false
 	}
 	if j.arrivals == 0 {
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -127,6 +127,7 @@
 	KnownLimit(u throttler.Upstream) registrar.KnownLimit
 	RecordLimit(u throttler.Upstream, perSecond float64, source string)
 	RecordLimitLifted(u throttler.Upstream, source string)
+	RecordBrittle(service string, rejections float64)
 }
 
 // Moves receives facts about version moves.
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -100,6 +100,13 @@
 }
 func (e *entry) EngineLoads() map[string]float64 { return map[string]float64{"model": 100} }
 
+// RecordBrittle records that a service is brittle as a fact.
+func (e *entry) RecordBrittle(service string, rejections float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.facts["brittle "+service] = fmt.Sprint(rejections)
+}
+
 // SetEntries records the number of entries among which limits are divided.
 func (e *entry) SetEntries(n int) {
 	e.mu.Lock()
--- a/standin/soaker/entry.go
+++ b/standin/soaker/entry.go
@@ -39,10 +39,15 @@
 // name returns the instance name.
 func (e *entry) name() string { return fmt.Sprintf("e%d", e.number) }
 
-func (e *entry) ip() string           { return fmt.Sprintf("127.%d.1.%d", e.harness.secondOctet, e.number+1) }
+func (e *entry) ip() string           { return e.harness.entryIP(e.number) }
 func (e *entry) frontendAddr() string { return fmt.Sprintf("%s:%d", e.ip(), frontendPort) }
 func (e *entry) readyAddr() string    { return fmt.Sprintf("%s:%d", e.ip(), readyPort) }
 
+// entryIP returns the address of the entry with a number.
+func (h *Harness) entryIP(number int) string {
+	return fmt.Sprintf("127.%d.1.%d", h.secondOctet, number+1)
+}
+
 // settings returns the contents of the settings file, which the platform would write.
 func (e *entry) settings() string {
 	seeds := ""
--- a/standin/soaker/partitions.go
+++ b/standin/soaker/partitions.go
@@ -126,7 +126,12 @@
 	if !ok {
 		return -1
 	}
-	return slices.IndexFunc(h.entries, func(e *entry) bool { return e.ip() == tcp.IP.String() })
+	for n := range h.opts.Entries {
+		if h.entryIP(n) == tcp.IP.String() {
+			return n
+		}
+	}
+	return -1
 }
 
 // Bounds on how much worse callers of partitioned entries may be served.
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -32,6 +32,7 @@
 	pauseMillis        atomic.Int64 // pause requested with each rejection
 	draining           atomic.Bool  // announced in all responses
 	extraLatencyMillis atomic.Int64 // added to the latency of each call
+	brittle            brittleness
 	limitPer1000s      atomic.Int64 // rate limit across all entries in calls per 1000 seconds; 0 for none
 
 	mu       sync.Mutex
@@ -209,8 +210,17 @@
 	if deadly != "" {
 		r.checker.recordPartArrival(id, deadly)
 	}
-	if r.inFlight.Add(1) > maxCallsInFlight || rand.Int64N(1000) < r.rejectsPer1000.Load() {
+	brittle, maxCalls := r.brittle.state()
+	if brittle {
+		r.setSignal(w, OmitBrittleness, "Server-Brittle", strconv.Itoa(withstoodRejections))
+	}
+	running := r.inFlight.Add(1)
+	if brittle {
+		w.Header().Set("Load-Report", fmt.Sprintf("%d,0,%d", min(running, maxCalls), maxCalls))
+	}
+	if running > maxCalls || rand.Int64N(1000) < r.rejectsPer1000.Load() {
 		r.inFlight.Add(-1)
+		r.brittle.recordRejection()
 		r.reject(w, req, id)
 		return
 	}
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -39,7 +39,7 @@
 	Storm         bool            // inject faults that cause many retries
 	OnlyFault     string          // name of the only fault to inject; empty for all
 	RetryLimits   rationer.Limits // limits on retries, also written to the entries' settings
-	OmittedSignal string          // signal that upstreams omit from their responses, so that no entry respects it: OmitDraining, OmitPause, OmitRateLimit or OmitDeadlyPart
+	OmittedSignal string          // signal that upstreams omit from their responses, so that no entry respects it: OmitDraining, OmitPause, OmitRateLimit, OmitBrittleness or OmitDeadlyPart
 	Binary        string          // path of the entry's program
 	Dir           string          // directory for settings and logs
 }
@@ -50,9 +50,10 @@
 // Signals that upstreams can be made to omit. The checker must then report the entries
 // as ignoring them.
 const (
-	OmitDraining  = "leaving"
-	OmitPause     = "pause"
-	OmitRateLimit = "limit"
+	OmitDraining    = "leaving"
+	OmitPause       = "pause"
+	OmitRateLimit   = "limit"
+	OmitBrittleness = "brittle"
 	// OmitDeadlyPart hides the parts that crash upstreams among those of which no two are alike.
 	OmitDeadlyPart = "part"
 )
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -60,6 +60,15 @@
 	})
 }
 
+// Replicas that fall over when they reject calls must stay up.
+func TestBrittleReplicasStayUp(t *testing.T) {
+	runSoak(t, soaker.Options{
+		Seed: 2, Duration: 12 * time.Second, Storm: true, OnlyFault: "make a service brittle", Binary: build(t),
+		Entries: 5, Replicas: 4, Engines: 4, Callers: 40, Rate: 240,
+		RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+	})
+}
+
 // A part of prompts that crashes upstreams must stop reaching them, and only calls with it.
 func TestPartThatCrashesUpstreamsIsQuarantined(t *testing.T) {
 	runSoak(t, soaker.Options{
@@ -89,6 +98,7 @@
 		"leaving":      {soaker.OmitDraining, "replace a replica that tells it to its callers only", "had passed on that", 4 * time.Second},
 		"pauses":       {soaker.OmitPause, "ask for pauses", "had asked for a pause", 4 * time.Second},
 		"limits":       {soaker.OmitRateLimit, "limit a replica", "had passed on its limit", 4 * time.Second},
+		"brittleness":  {soaker.OmitBrittleness, "make a service brittle", "fell over", 10 * time.Second},
 		"deadly parts": {soaker.OmitDeadlyPart, "send prompts with a part that crashes replicas", "reached replicas more than", 14 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/standin/soaker/storms.go
+++ b/standin/soaker/storms.go
@@ -49,6 +49,7 @@
 	}},
 	{killAllFault, false, (*Harness).killAllEntries},
 	{restoreStoreFault, false, (*Harness).restoreStore},
+	{brittleFault, false, (*Harness).makeBrittle},
 	{partitionFault, false, (*Harness).partitionEntries},
 	{"pause some entries", false, (*Harness).pauseSomeEntries},
 	{"kill some entries", false, (*Harness).killSomeEntries},
