Charge nobody with connections that break together

An entry whose connections are reset, and that reaches its upstreams again at once, still reported each of them as a crash under the request on it, to the entries that decide which requests and parts of prompts crash upstreams. Connections of three upstreams and three requests or more that break within 100 ms, most of those in use, are now attributed to this entry.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -182,6 +182,7 @@
 func (t *try) conclude(e classifier.End, result, reason string, args ...any) (nextStep, string) {
 	a := classifier.Classify(e)
 	if t.brokePath(e) {
+		t.recordBreak()
 		t.d.paths.Failed(t.service)
 	}
 	if a.ChargeCrash && !t.relay {
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -232,6 +232,7 @@
 	rationer    *rationer.Rationer
 	blamer      *blamer.Blamer
 	engineLoads map[string]*engineLoad // by service
+	breaks      map[string][]pathBreak // connections that broke recently, by service
 	tries       map[*try]bool          // attempts in progress over this entry's own paths
 	entries     int                    // number of entries that share the quotas and retry budgets, 0 until known
 }
@@ -241,7 +242,7 @@
 func New(opts Options, transport Transport, peers Peers, moves Moves, screener Screener, paths Paths, relays Relays, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
 	return &Dispatcher{
 		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, paths: paths, relays: relays, meter: meter, clock: clock, log: log.Named("dispatcher"),
-		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad), tries: make(map[*try]bool),
+		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad), tries: make(map[*try]bool), breaks: make(map[string][]pathBreak),
 	}
 }
 
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -79,6 +79,7 @@
 		return nil, sendError{sequoiasill.MayHaveRun}
 	}
 	if s.fail {
+		time.Sleep(s.delay.Duration())
 		return nil, sendError{s.verdict}
 	}
 	ended := ctx.Done()
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
+	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/classifier"
 	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
 	"sequoiasill.dev/sequoiasill/decide/peerpicker"
@@ -278,20 +280,68 @@
 	maxDoubt           = 2 * sequoiasill.Second
 )
 
-// whenReached calls f once an upstream of the service is known to be reached after a failure, so that
-// the failure was not due to the paths of this entry. Otherwise f is never called.
+// whenReached calls f once an upstream of the service is known to be reached after a failure that
+// happens now, so that it was not due to the paths of this entry. Otherwise f is never called.
 func (d *Dispatcher) whenReached(service, what string, f func()) {
-	d.checkReached(service, what, d.clock.Now()+maxDoubt, f)
+	d.checkReached(service, what, d.clock.Now(), f)
 }
 
-func (d *Dispatcher) checkReached(service, what string, end sequoiasill.Millis, f func()) {
+func (d *Dispatcher) checkReached(service, what string, at sequoiasill.Millis, f func()) {
 	state := d.paths.State(service)
 	switch {
-	case state == pathmonitor.Reachable:
-		f()
-	case state == pathmonitor.Unreachable || d.clock.Now() >= end:
+	case state == pathmonitor.InDoubt && d.clock.Now()-at < maxDoubt:
+		time.AfterFunc(doubtCheckInterval, func() { d.checkReached(service, what, at, f) })
+	case state != pathmonitor.Reachable, d.brokeTogether(service, at):
 		d.log.Info("failure attributed to the paths of this entry", "service", service, "what", what)
 	default:
-		time.AfterFunc(doubtCheckInterval, func() { d.checkReached(service, what, end, f) })
+		f()
+	}
+}
+
+// pathBreak is a connection that broke under an attempt.
+type pathBreak struct {
+	upstream string
+	request  blamer.Fingerprint
+	at       sequoiasill.Millis
+}
+
+const (
+	// breakWindow is the time within which connections break together. An upstream that crashes
+	// breaks only its own.
+	breakWindow = 100 * sequoiasill.Millis(1)
+	// minBreaksTogether is the number of upstreams, and of different requests, whose connections must
+	// break together to be attributed to this entry. A request that crashes upstreams may come to
+	// several of them in a moment.
+	minBreaksTogether = 3
+)
+
+// recordBreak records that the connection of the attempt broke.
+func (t *try) recordBreak() {
+	t.d.mu.Lock()
+	defer t.d.mu.Unlock()
+	now := t.d.clock.Now()
+	kept := slices.DeleteFunc(t.d.breaks[t.service], func(b pathBreak) bool { return now-b.at > maxDoubt })
+	t.d.breaks[t.service] = append(kept, pathBreak{t.choice.Replica.Name, t.fingerprint, now})
+}
+
+// brokeTogether reports whether the connections to most upstreams of a service with attempts in
+// progress broke around a time: then this entry lost them, also if it reaches the upstreams again.
+func (d *Dispatcher) brokeTogether(service string, at sequoiasill.Millis) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	broken, sound, requests := make(map[string]bool), make(map[string]bool), make(map[blamer.Fingerprint]bool)
+	for _, b := range d.breaks[service] {
+		if b.at >= at-breakWindow && b.at <= at+breakWindow {
+			broken[b.upstream], requests[b.request] = true, true
+		}
+	}
+	if min(len(broken), len(requests)) < minBreaksTogether {
+		return false
+	}
+	for t := range d.tries {
+		if name := t.choice.Replica.Name; t.service == service && t.started < at && !broken[name] {
+			sound[name] = true
+		}
 	}
+	return len(broken) > len(sound)
 }
--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -297,6 +297,42 @@
 	}
 }
 
+// Connections to most upstreams that break at the same time were lost by this entry, even if it
+// reaches the upstreams again at once.
+func TestConnectionsThatBreakTogetherChargeNobody(t *testing.T) {
+	tests := map[string]struct {
+		upstreams int // whose connections break
+		charges   int
+	}{
+		"one upstream":  {1, 1},
+		"two upstreams": {2, 2},
+		"all upstreams": {3, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var steps []step
+			for range tc.upstreams {
+				steps = append(steps, step{fail: true, verdict: sequoiasill.MayHaveRun, delay: 100})
+			}
+			c, u := &fakeTransport{steps: append(steps, step{status: 200, delay: 500})}, &fakePeers{usageCounts: make(map[string]int)}
+			p := &fakePaths{state: pathmonitor.InDoubt}
+			d := newRelayingDispatcher(t, c, u, p, &fakeRelays{})
+			var calls sync.WaitGroup
+			for i := range 3 {
+				calls.Go(func() {
+					one := call("/once/"+string(rune('0'+i)), "key")
+					d.Serve(context.Background(), one, &reply{})
+				})
+			}
+			time.AfterFunc(300*time.Millisecond, func() { p.set(pathmonitor.Reachable) })
+			calls.Wait()
+			if diff := cmp.Diff(tc.charges, len(d.Charges())); diff != "" {
+				t.Errorf("charges (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // An attempt that no longer progresses goes to another entry once no upstream is reached.
 func TestStalledAttemptIsRelayedWhenPathsAreLost(t *testing.T) {
 	tests := map[string]struct {
