Count failures of a version while other failures keep paths in doubt

Since evidence on versions waits for the paths to be sound, a bad version that breaks most of its streams kept them in doubt by itself: each failure raised a new doubt, the checks seldom saw the paths sound, and after 2 s the evidence was dropped. The move was not taken back.

What counts now is whether an upstream was reached over a new connection after the failure, whatever else is in doubt; failures that cannot be due to paths are recorded at once. Only crashes, not versions, are held against the entry when connections break together.

TestBrokenPathsChargeNobody/other_failures_keep_them_in_doubt failed before.

--- a/decide/pathmonitor/pathmonitor.go
+++ b/decide/pathmonitor/pathmonitor.go
@@ -67,6 +67,8 @@
 	since sequoiasill.Millis
 	// lastContact is the time of the last response.
 	lastContact sequoiasill.Millis
+	// reachedAt is when the newest connection on which an upstream responded was opened.
+	reachedAt sequoiasill.Millis
 	// silenceOnly reports that the doubt is due to silence, which any response settles.
 	silenceOnly bool
 	// waiting is the number of requests without a response, and waitingSince is when the first of
@@ -91,6 +93,8 @@
 	Service  string
 	Upstream string
 	Round    int
+	// StartedAt is the time at which it was due.
+	StartedAt sequoiasill.Millis
 }
 
 // New returns a Monitor to which all services are reachable. The seed makes its samples
@@ -140,11 +144,11 @@
 	return out
 }
 
-// ReachableSince reports whether an upstream of a service was reached at or after a time, and no
-// failure has put its paths in doubt since.
-func (m *Monitor) ReachableSince(name string, at sequoiasill.Millis) bool {
+// ReachedSince reports whether an upstream of a service responded on a connection that was opened at
+// or after a time.
+func (m *Monitor) ReachedSince(name string, at sequoiasill.Millis) bool {
 	s, ok := m.services[name]
-	return ok && s.state == Reachable && s.lastContact >= at
+	return ok && s.reachedAt >= at
 }
 
 // RequestSent records that a request was sent to an upstream of a service. RequestEnded must
@@ -168,7 +172,7 @@
 func (m *Monitor) Responded(now sequoiasill.Millis, name string, openedAt sequoiasill.Millis) *Transition {
 	s := m.service(name)
 	before := s.lastContact
-	s.lastContact = now
+	s.lastContact, s.reachedAt = now, max(s.reachedAt, openedAt)
 	settled := s.state == InDoubt && s.silenceOnly || openedAt > 0 && openedAt >= s.since
 	if s.state == Reachable || !settled {
 		return nil
@@ -203,7 +207,7 @@
 func (m *Monitor) ProbeEnded(now sequoiasill.Millis, p Probe, answered bool) *Transition {
 	s := m.service(p.Service)
 	if answered {
-		return m.Responded(now, p.Service, s.since)
+		return m.Responded(now, p.Service, max(s.since, p.StartedAt))
 	}
 	if p.Round != s.round || s.pending == 0 {
 		return nil
@@ -233,7 +237,7 @@
 		s.round++
 		s.pending, s.roundStarted = len(sample), now
 		for _, u := range sample {
-			probes = append(probes, Probe{Service: name, Upstream: u, Round: s.round})
+			probes = append(probes, Probe{Service: name, Upstream: u, Round: s.round, StartedAt: now})
 		}
 	}
 	return probes, changes
--- a/decide/pathmonitor/pathmonitor_test.go
+++ b/decide/pathmonitor/pathmonitor_test.go
@@ -138,3 +138,24 @@
 		t.Errorf("%d probes in 3 s, at most %d are wanted", probes, most)
 	}
 }
+
+// Failures that keep the paths in doubt do not hide that upstreams are reached.
+func TestReachedSince(t *testing.T) {
+	h := &harness{Monitor: pathmonitor.New(pathmonitor.DefaultOptions(), 1), upstreams: 9, accepting: map[string]bool{}}
+	for i := range 9 {
+		h.accepting[fmt.Sprint("u", i)] = true
+	}
+	for now := sequoiasill.Millis(1000); now < 4000; now += 10 {
+		h.Failed(now, service)
+		if now%50 == 0 {
+			h.tick(now)
+		}
+		if now >= 2000 && !h.ReachedSince(service, now-400) {
+			t.Fatalf("at %d ms no upstream has been reached for 400 ms", now)
+		}
+	}
+	h.Responded(4000, service, 0)
+	if h.ReachedSince(service, 4000) {
+		t.Error("a response on a connection that was open before counts")
+	}
+}
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -44,6 +44,7 @@
 	timeToFirstEvent sequoiasill.Millis // since the start of the attempt, 0 until the first event
 	withheld         bool               // the upstream became unavailable to the call before the send
 	limit            registrar.Limit    // rate limit that the response carries
+	pathBroke        bool               // the end of the attempt may be due to the path to the upstream
 	relay            bool               // another entry serves the call
 	permit           *throttler.Permit  // nil if the upstream has no rate limit
 	lastData         sequoiasill.Millis // when the response last made progress; guarded by the dispatcher's lock
@@ -170,7 +171,7 @@
 		return
 	}
 	record := func() { t.d.moves.Record(t.service, t.route.Name, t.choice.Replica.Version, failed, took) }
-	if !failed {
+	if !failed || !t.pathBroke {
 		record()
 		return
 	}
@@ -181,12 +182,13 @@
 // whether the call may be retried.
 func (t *try) conclude(e classifier.End, result, reason string, args ...any) (nextStep, string) {
 	a := classifier.Classify(e)
-	if t.brokePath(e) {
+	if t.pathBroke = t.brokePath(e); t.pathBroke {
 		t.recordBreak()
 		t.d.paths.Failed(t.service)
 	}
 	if a.ChargeCrash && !t.relay {
-		t.d.whenReached(t.service, "crash", t.recordCrash)
+		at := t.d.clock.Now()
+		t.d.whenReached(t.service, "crash", func() { t.recordCrashUnlessTogether(at) })
 	}
 	t.recordEnd(a.Outcome, result, args...)
 	if a.Retry == classifier.RetryAny || a.Retry == classifier.RetryRepeatable && t.route.MayRetry() {
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -123,6 +123,9 @@
 // Paths watches the paths of this entry to the upstreams of each service.
 type Paths interface {
 	State(service string) pathmonitor.State
+	// ReachedSince reports whether an upstream of a service responded on a connection that was opened
+	// at or after a time.
+	ReachedSince(service string, at sequoiasill.Millis) bool
 	// RequestSent records that a request was sent, and RequestEnded that it got a response or that
 	// none is awaited any more.
 	RequestSent(service string)
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -280,21 +280,21 @@
 	maxDoubt           = 2 * sequoiasill.Second
 )
 
-// whenReached calls f once an upstream of the service is known to be reached after a failure that
-// happens now, so that it was not due to the paths of this entry. Otherwise f is never called.
+// whenReached calls f once an upstream of the service was reached over a new connection after a
+// failure that happens now, so that it was not due to the paths of this entry. Otherwise f is never
+// called. Further failures may keep the paths in doubt all the while.
 func (d *Dispatcher) whenReached(service, what string, f func()) {
 	d.checkReached(service, what, d.clock.Now(), f)
 }
 
 func (d *Dispatcher) checkReached(service, what string, at sequoiasill.Millis, f func()) {
-	state := d.paths.State(service)
 	switch {
-	case state == pathmonitor.InDoubt && d.clock.Now()-at < maxDoubt:
-		time.AfterFunc(doubtCheckInterval, func() { d.checkReached(service, what, at, f) })
-	case state != pathmonitor.Reachable, d.brokeTogether(service, at):
+	case d.paths.ReachedSince(service, at):
+		f()
+	case d.paths.State(service) == pathmonitor.Unreachable, d.clock.Now()-at >= maxDoubt:
 		d.log.Info("failure attributed to the paths of this entry", "service", service, "what", what)
 	default:
-		f()
+		time.AfterFunc(doubtCheckInterval, func() { d.checkReached(service, what, at, f) })
 	}
 }
 
@@ -324,6 +324,16 @@
 	t.d.breaks[t.service] = append(kept, pathBreak{t.choice.Replica.Name, t.fingerprint, now})
 }
 
+// recordCrashUnlessTogether records that the upstream may have crashed under the call at a time,
+// unless this entry lost the connections to other upstreams with it.
+func (t *try) recordCrashUnlessTogether(at sequoiasill.Millis) {
+	if t.d.brokeTogether(t.service, at) {
+		t.d.log.Info("failure attributed to the paths of this entry", "service", t.service, "what", "connections that broke together")
+		return
+	}
+	t.recordCrash()
+}
+
 // brokeTogether reports whether the connections to most upstreams of a service with attempts in
 // progress broke around a time: then this entry lost them, also if it reaches the upstreams again.
 func (d *Dispatcher) brokeTogether(service string, at sequoiasill.Millis) bool {
--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -23,9 +23,16 @@
 type fakePaths struct {
 	mu       sync.Mutex
 	state    pathmonitor.State
+	reached  bool // over a new connection, after any failure
 	failures int
 }
 
+func (p *fakePaths) ReachedSince(string, sequoiasill.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reached || p.state == pathmonitor.Reachable
+}
+
 func (p *fakePaths) State(string) pathmonitor.State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -268,11 +275,14 @@
 func TestBrokenPathsChargeNobody(t *testing.T) {
 	tests := map[string]struct {
 		settles pathmonitor.State
+		reached bool
 		charges int
 		records []string
 	}{
-		"paths are sound":      {pathmonitor.Reachable, 1, []string{"plain once  failed true"}},
-		"no upstream is found": {pathmonitor.Unreachable, 0, nil},
+		"paths are sound":                     {pathmonitor.Reachable, true, 1, []string{"plain once  failed true"}},
+		"other failures keep them in doubt":   {pathmonitor.InDoubt, true, 1, []string{"plain once  failed true"}},
+		"no upstream is found":                {pathmonitor.Unreachable, false, 0, nil},
+		"no upstream has been reached as yet": {pathmonitor.InDoubt, false, 0, nil},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -284,6 +294,9 @@
 				t.Errorf("%d charges while the paths are in doubt", n)
 			}
 			p.set(tc.settles)
+			p.mu.Lock()
+			p.reached = tc.reached
+			p.mu.Unlock()
 			time.Sleep(200 * time.Millisecond)
 			if diff := cmp.Diff(tc.charges, len(d.Charges())); diff != "" {
 				t.Errorf("charges (-want +got):\n%s", diff)
--- a/relay/prober/prober.go
+++ b/relay/prober/prober.go
@@ -95,6 +95,14 @@
 	return p.monitor.State(service)
 }
 
+// ReachedSince reports whether an upstream of a service responded on a connection that was opened at
+// or after a time.
+func (p *Prober) ReachedSince(service string, at sequoiasill.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.monitor.ReachedSince(service, at)
+}
+
 // Unreachable returns the names of the services that this entry does not reach, sorted.
 func (p *Prober) Unreachable() []string {
 	p.mu.Lock()
