--- a/standin/soaker/brittle.go
+++ b/standin/soaker/brittle.go
@@ -16,7 +16,7 @@
 	// brittleCalls is the number of calls that it executes concurrently once entries have had the time
 	// to notice, and brittleLatencyMillis the latency that fills it.
 	brittleCalls         = 8
-	brittleLatencyMillis = 250
+	brittleLatencyMillis = 400
 	// maxFalls and maxFallShare bound the falls of a service's replicas in one time of brittleness.
 	maxFalls     = 2
 	maxFallShare = 0.1
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -80,6 +80,7 @@
 	}},
 	{restoreStoreFault, false, (*Harness).restoreStore},
 	{partitionFault, false, (*Harness).partitionEntries},
+	{brittleFault, false, (*Harness).makeBrittle},
 	{"cut an entry from the store", false, func(h *Harness, duration time.Duration) {
 		h.withRandomEntry(func(e *entry) {
 			e.store.setFault(blackhole)
