Soak: a pause belongs to the entry whose connection asked for it

Since entries relay calls, one call may be sent by two of them; the checker put the pause down to the last sender, 20 ms after the rejection. It also took a response for delivered that a partition held back. The pause is now recorded for the sender of the rejected request, and only if its data is not held. The check is as strict as before: TestPauseIsOfTheEntryThatWasAsked failed before.

--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -187,13 +187,20 @@
 	c.limits.recordLimit(nowMillis(), upstream, rate)
 }
 
-// recordPause records that an upstream rejected a call and requested a pause from the entry.
-func (c *checker) recordPause(at sequoiasill.Millis, id, upstream string, duration sequoiasill.Millis) {
+// recordPause records that an upstream rejected a call and requested a pause from the entry that sent
+// it, or if that is unknown, from the one that the caller sent the call to. The call may have been
+// sent by another entry since.
+func (c *checker) recordPause(at sequoiasill.Millis, id string, ln link, duration sequoiasill.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if r, ok := c.calls[id]; ok {
-		c.signals.recordPause(at, link{r.sender, upstream}, duration)
+	r, ok := c.calls[id]
+	if !ok {
+		return
+	}
+	if ln.entry < 0 {
+		ln.entry = r.entry
 	}
+	c.signals.recordPause(at, ln, duration)
 }
 
 // recordDisruption records that an entry is started, stopped, paused or resumed, or that its
--- a/standin/soaker/proxy.go
+++ b/standin/soaker/proxy.go
@@ -84,6 +84,9 @@
 // deliversResponses reports whether responses on the connection to the target with the given
 // local address are not stalled and none was dropped before.
 func (p *proxy) deliversResponses(address string) bool {
+	if p.senderHeldWithin(address, 0) {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.fault != stall && !p.lossy[address]
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -129,7 +129,7 @@
 	}
 	time.Sleep(deliveryCheckDelay)
 	if req.Context().Err() == nil && r.proxy.deliversResponses(req.RemoteAddr) {
-		r.checker.recordPause(at, id, r.id, pause)
+		r.checker.recordPause(at, id, link{r.proxy.sender(req.RemoteAddr), r.id}, pause)
 	}
 }
 
--- a/standin/soaker/signals_test.go
+++ b/standin/soaker/signals_test.go
@@ -6,6 +6,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
 // Checks that entries that ignore draining or pause signals are reported, and no others.
@@ -67,3 +68,16 @@
 		})
 	}
 }
+
+// A pause is kept by the entry that was asked for it, even if another entry has sent the call since.
+func TestPauseIsOfTheEntryThatWasAsked(t *testing.T) {
+	c := newChecker(rationer.Limits{})
+	c.recordSend("1", repeatable, "key", 5)
+	c.recordDelivery("1", link{5, "i-1"}, false, false)
+	c.recordDelivery("1", link{0, "i-2"}, false, false)
+	c.recordPause(nowMillis(), "1", link{5, "i-1"}, sequoiasill.Second)
+	got := []int{len(c.signals.pauses[link{5, "i-1"}]), len(c.signals.pauses[link{0, "i-1"}])}
+	if diff := cmp.Diff([]int{1, 0}, got); diff != "" {
+		t.Errorf("pauses of the entry that was asked, of the other one (-want +got):\n%s", diff)
+	}
+}
