Log and count responses that end with their connection

The logs did not tell how a response was framed, so that the hypotheses of the incident could not be told apart: attempts now have untilClose, and sequoia_unframed_responses_total counts their ends.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -45,6 +45,7 @@
 	withheld         bool               // the upstream became unavailable to the call before the send
 	limit            registrar.Limit    // rate limit that the response carries
 	pathBroke        bool               // the end of the attempt may be due to the path to the upstream
+	untilClose       bool               // the response has no framing and ends with its connection
 	relay            bool               // another entry serves the call
 	permit           *throttler.Permit  // nil if the upstream has no rate limit
 	lastData         sequoiasill.Millis // when the response last made progress; guarded by the dispatcher's lock
@@ -139,6 +140,10 @@
 	t.prefill = 0
 	took := t.d.clock.Now() - t.started
 	t.d.meter.Attempted(result, took)
+	if t.untilClose {
+		t.d.meter.UnframedEnded(result)
+		args = append(args, "untilClose", true)
+	}
 	if t.relay {
 		t.d.log.Info("relayed", append([]any{"request", t.call.ID, "route", t.route.Name, "config", t.trafficVersion, "service", t.service,
 			"by", t.choice.Replica.Name, "zone", t.choice.Replica.Zone, "took", took, "end", result}, args...)...)
@@ -261,6 +266,7 @@
 // handleResponse evaluates a response and delivers it unless it is a refusal.
 func (t *try) handleResponse(ctx context.Context, a *Response, timer *attemptTimer) (nextStep, string) {
 	t.arrivals++
+	t.untilClose = a.UntilClose
 	t.recordFeedback(a)
 	switch {
 	case a.Refused || a.Misdirected:
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -152,6 +152,8 @@
 type Meter interface {
 	Refused(code sequoiasill.Code)
 	Attempted(end string, took sequoiasill.Millis)
+	// UnframedEnded counts an attempt whose response has no framing and ends with its connection.
+	UnframedEnded(end string)
 	FirstEvent(after sequoiasill.Millis)
 	CallEnded(kind sequoiasill.CallKind, end string, took sequoiasill.Millis)
 	// RetryRequested counts a requested retry, allowed or denied.
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -40,6 +40,12 @@
 	m.time(`sequoia_attempt_seconds`, took)
 }
 
+// UnframedEnded counts an attempt whose response has no framing and ends with its connection, by
+// outcome.
+func (m *Meter) UnframedEnded(end string) {
+	m.count(fmt.Sprintf(`sequoia_unframed_responses_total{end=%q}`, end))
+}
+
 // FirstEvent records the time from the arrival of a call to the first event of its stream.
 func (m *Meter) FirstEvent(after sequoiasill.Millis) { m.time(`sequoia_first_event_seconds`, after) }
 
