Confirm that an upstream outlived its response without framing

Cause: a response without length or chunks was taken as whole when its connection ended in an orderly way, at the boundary of an event or anywhere in a body that is no stream. The kernel of a dead process ends it the same way. Class: an end of file taken for an end of message.

The end of such a response is now held back until a new connection shows that its upstream still runs; the next request uses that connection.

--- /dev/null
+++ b/relay/connector/outlived_test.go
@@ -0,0 +1,121 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/juju/errors"
+
+	"sequoiasill.dev/sequoiasill/relay/connector"
+)
+
+// An upstream that runs is reached again, and the next request uses the connection.
+func TestUpstreamOutlivesItsResponse(t *testing.T) {
+	u := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if readRequest(r) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\ngood")
+		}
+	})
+	c := newConnector(t)
+	if _, err := exchange(t, c, request(u)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Outlived(context.Background(), "r0", u.address); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := exchange(t, c, request(u)); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(2, u.connections()); diff != "" {
+		t.Errorf("connections (-want +got):\n%s", diff)
+	}
+}
+
+// closedPort returns an address that refuses connections, and a connection through it that is open.
+func closedPort(t *testing.T) (address string, accepted chan net.Conn, l net.Listener) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted = make(chan net.Conn, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(c)
+		if readRequest(r) {
+			_, _ = io.WriteString(c, goodResponse)
+		}
+		accepted <- c
+	}()
+	return l.Addr().String(), accepted, l
+}
+
+func TestUpstreamThatRefusesConnections(t *testing.T) {
+	tests := map[string]struct {
+		idleOpen bool // an idle connection to the upstream stays open
+		want     error
+	}{
+		"its process has ended":                 {false, syscall.ECONNREFUSED},
+		"an open connection shows that it runs": {true, nil},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, accepted, l := closedPort(t)
+			c := newConnector(t)
+			if _, err := exchange(t, c, connector.Request{Upstream: "r0", Address: address, Method: "GET", Target: "/"}); err != nil {
+				t.Fatal(err)
+			}
+			open := <-accepted
+			defer func() { _ = open.Close() }()
+			_ = l.Close()
+			if !tc.idleOpen {
+				_ = open.Close()
+			}
+			if err := c.Outlived(context.Background(), "r0", address); !errors.Is(err, tc.want) || tc.want == nil && err != nil {
+				t.Errorf("error is %v, %v is wanted", err, tc.want)
+			}
+		})
+	}
+}
+
+// An upstream that cannot be asked may have ended. The check does not wait for long.
+func TestUpstreamThatIsPartitionedMayHaveEnded(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	// A full backlog drops further connects.
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	sa, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: sa.(*syscall.SockaddrInet4).Port}).String()
+	filler, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = filler.Close() })
+	began := time.Now()
+	if err := newConnector(t).Outlived(context.Background(), "r0", address); err == nil {
+		t.Error("the upstream counts as running")
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the check took %s", took)
+	}
+}
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -309,6 +309,9 @@
 	body, release, err := t.d.readBody(a.Body)
 	defer release()
 	timer.stop()
+	if err == nil && a.Authentic {
+		err = a.complete(ctx)
+	}
 	a.Close(err == nil)
 	e := classifier.End{Kind: classifier.UnexpectedResponse, CallerDisconnected: callerDisconnected(ctx), Pause: a.Pause}
 	switch {
--- a/relay/dispatcher/body.go
+++ b/relay/dispatcher/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 
 	"github.com/juju/errors"
@@ -32,6 +33,16 @@
 	}
 }
 
+// complete reports whether a response whose body was read to its end is complete. One without framing
+// may have been broken off by the end of its upstream.
+func (r *Response) complete(ctx context.Context) error {
+	if !r.UntilClose || r.Outlived == nil {
+		return nil
+	}
+	r.Close(true)
+	return r.Outlived(ctx)
+}
+
 // readRefusal reads the body of a refusal, so that its connection can be reused. It returns
 // false if the body is interrupted or longer than maxRefusalBytes.
 func readRefusal(body io.Reader) bool {
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -41,13 +41,16 @@
 // Response is the response of an upstream: its header and a reader for its body. Close must be
 // called.
 type Response struct {
-	Status        int
-	Header        http.Header           // header fields to forward to the caller
-	Refused       bool                  // the upstream states that it did not run the call
-	Misdirected   bool                  // the address now belongs to another upstream
-	Authentic     bool                  // authenticated as the upstream's response to this call
-	EventStream   bool                  // the body is an event stream
-	UntilClose    bool                  // the body has no framing and ends when the upstream closes the connection
+	Status      int
+	Header      http.Header // header fields to forward to the caller
+	Refused     bool        // the upstream states that it did not run the call
+	Misdirected bool        // the address now belongs to another upstream
+	Authentic   bool        // authenticated as the upstream's response to this call
+	EventStream bool        // the body is an event stream
+	// UntilClose is set if the body has no framing and ends when the upstream closes the connection.
+	// Outlived then reports whether the upstream still ran afterwards; nil means that it did.
+	UntilClose    bool
+	Outlived      func(ctx context.Context) error
 	Draining      bool                  // the upstream is draining
 	Pause         sequoiasill.Millis    // pause that the upstream requests, 0 for none
 	Limit         registrar.Limit       // rate limit that the upstream applies to the calls of all entries
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -41,6 +42,7 @@
 	body          string
 	broken        bool // the body ends with an error
 	untilClose    bool // the body ends when the connection is closed
+	gone          bool // the upstream does not run any more when the body has ended
 	draining      bool
 	pause         sequoiasill.Millis
 	limit         registrar.Limit
@@ -95,8 +97,14 @@
 	if s.broken {
 		body = io.MultiReader(body, brokenReader{})
 	}
+	outlived := func(context.Context) error {
+		if s.gone {
+			return syscall.ECONNREFUSED
+		}
+		return nil
+	}
 	return &dispatcher.Response{
-		Status: s.status, Header: http.Header{"X-Upstream": {a.Replica.Name}}, Refused: s.refused, Authentic: !s.forged,
+		Outlived: outlived, Status: s.status, Header: http.Header{"X-Upstream": {a.Replica.Name}}, Refused: s.refused, Authentic: !s.forged,
 		Draining: s.draining, Pause: s.pause, Limit: s.limit, EventStream: s.events, UntilClose: s.untilClose, Body: body, Close: func(whole bool) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -342,6 +350,23 @@
 				{status: 200, events: true, untilClose: true, body: "id: 1\ndata: a\n\nid: 2\nda"},
 				{status: 200, events: true, untilClose: true, body: "id: 2\ndata: b\n\n"}},
 			reply{Status: 200, Body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Ended: true}, 2, 1},
+		"a stream that ends with its upstream is cut": {
+			"/long/x", "key", []step{{status: 200, events: true, untilClose: true, gone: true, body: "id: 1\ndata: a\n\n"}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\n", WasCut: true}, 1, 1},
+		"a stream that ends with its upstream is resumed elsewhere": {
+			"/quick/x", "key", []step{
+				{status: 200, events: true, untilClose: true, gone: true, body: "id: 1\ndata: a\n\n"},
+				{status: 200, events: true, untilClose: true, body: "id: 2\ndata: b\n\n"}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Ended: true}, 2, 1},
+		"a stream that its upstream ends in chunks before it is gone": {
+			"/long/x", "key", []step{{status: 200, events: true, gone: true, body: "id: 1\ndata: a\n\n"}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\n", Ended: true}, 1, 1},
+		"a response without framing that ends with its upstream": {
+			"/once/x", "key", []step{{status: 200, untilClose: true, gone: true, body: "ha"}, good}, reply{Status: 502, Ended: true}, 1, 1},
+		"a response without framing that ends with its upstream, of what may be retried": {
+			"/read/x", "key", []step{{status: 200, untilClose: true, gone: true, body: "ha"}, good}, reply{Status: 200, Body: "good", Ended: true}, 2, 1},
+		"a response without framing": {
+			"/once/x", "key", []step{{status: 200, untilClose: true, body: "good"}}, reply{Status: 200, Body: "good", Ended: true}, 1, 1},
 		"a stream that ends with its connection before its first event": {
 			"/long/x", "key", []step{{status: 200, events: true, untilClose: true}}, reply{Status: 502, Ended: true}, 1, 0},
 		"a stream without an event that ends as its framing says": {
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -27,7 +27,7 @@
 		return t.conclude(classifier.End{Kind: classifier.UnexpectedResponse}, "stream is not the upstream's", "stream is not the upstream's")
 	}
 	f := &forwarder{try: t, response: a, timer: timer}
-	err := f.copy()
+	err := f.copy(ctx)
 	t.countRun(a)
 	a.Close(err == nil)
 	e := classifier.End{Kind: classifier.Truncated, CallerDisconnected: f.callerGone || callerDisconnected(ctx), EndedHere: ctx.Err() != nil}
@@ -60,7 +60,7 @@
 }
 
 // copy forwards events until the stream ends, which yields nil, or fails.
-func (f *forwarder) copy() error {
+func (f *forwarder) copy(ctx context.Context) error {
 	var pending []byte
 	buf := make([]byte, readSize)
 	for {
@@ -78,7 +78,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			return f.end(pending)
+			return f.end(ctx, pending)
 		case err != nil:
 			return err
 		case len(pending) > maxEventBytes:
@@ -89,12 +89,15 @@
 
 // end handles the end of the stream, with the bytes after its last complete event. A stream that
 // ends inside an event broke off, and so did one that ended with its connection before its first
-// event. A stream without events is delivered as a header.
-func (f *forwarder) end(rest []byte) error {
-	switch {
-	case len(rest) > 0, f.events == 0 && f.response.UntilClose:
+// event or with its upstream. A stream without events is delivered as a header.
+func (f *forwarder) end(ctx context.Context, rest []byte) error {
+	if len(rest) > 0 || f.events == 0 && f.response.UntilClose {
 		return io.ErrUnexpectedEOF
-	case f.headerSent:
+	}
+	if err := f.response.complete(ctx); err != nil {
+		return err
+	}
+	if f.headerSent {
 		return nil
 	}
 	if err := f.deliver(nil); err != nil {
