Check that a resumed stream goes on after the last event

Cause: only the request to resume named the last event, nothing read what came. The first event of a response is now compared with what was delivered: its ID must be higher, and higher by one where all events so far followed by one. Otherwise the attempt ends as an unexpected response: tried elsewhere or cut.

Errors, plain or as events, after a stream that broke off were cut before; they have cases now.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -66,7 +66,7 @@
 	defer cancel(nil)
 	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, started: d.clock.Now(), arrivalsBefore: j.arrivals, permit: p.permit, cancel: cancel}
 	a := Attempt{
-		Call: j.call, Replica: choice.Replica, Remaining: j.deadline - t.started, Priority: j.enginePriority(), ResumeAfter: j.lastEvent, MaySend: t.maySend,
+		Call: j.call, Replica: choice.Replica, Remaining: j.deadline - t.started, Priority: j.enginePriority(), ResumeAfter: j.events.last, MaySend: t.maySend,
 	}
 	if j.account != nil {
 		a.Organisation = j.account.Name
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -371,6 +371,36 @@
 			"/long/x", "key", []step{{status: 200, events: true, untilClose: true}}, reply{Status: 502, Ended: true}, 1, 0},
 		"a stream without an event that ends as its framing says": {
 			"/long/x", "key", []step{{status: 200, events: true}}, reply{Status: 200, Ended: true}, 1, 1},
+		"a resumed stream that starts over is cut": {
+			"/quick/x", "key", []step{
+				{status: 200, events: true, body: "id: 1\ndata: a\n\n", broken: true},
+				{status: 200, events: true, body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\n", WasCut: true}, 2, 1},
+		"a resumed stream that skips an event is cut": {
+			"/quick/x", "key", []step{
+				{status: 200, events: true, body: "id: 1\ndata: a\n\n", broken: true},
+				{status: 200, events: true, body: "id: 3\ndata: c\n\n"}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\n", WasCut: true}, 2, 1},
+		"a resumed stream with an event before its first ID": {
+			"/quick/x", "key", []step{
+				{status: 200, events: true, body: "id: 1\ndata: a\n\n", broken: true},
+				{status: 200, events: true, body: ": ping\n\nid: 2\ndata: b\n\n"}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\n: ping\n\nid: 2\ndata: b\n\n", Ended: true}, 2, 1},
+		"an error of the upstream that should resume a stream": {
+			"/quick/x", "key", []step{
+				{status: 200, events: true, body: "id: 1\ndata: a\n\n", broken: true},
+				{status: 500, body: "failed"}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\n", WasCut: true}, 2, 1},
+		"the same as events": {
+			"/quick/x", "key", []step{
+				{status: 200, events: true, body: "id: 1\ndata: a\n\n", broken: true},
+				{status: 500, events: true, body: "data: failed\n\n"}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\n", WasCut: true}, 2, 1},
+		"a forged stream of the upstream that should resume": {
+			"/quick/x", "key", []step{
+				{status: 200, events: true, body: "id: 1\ndata: a\n\n", broken: true},
+				{status: 200, events: true, forged: true, body: "id: 2\ndata: b\n\n"}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\n", WasCut: true}, 2, 1},
 		"a stream that is not resumed is cut": {
 			"/quick/x", "key", []step{
 				{status: 200, events: true, body: "id: 1\ndata: a\n\n", broken: true},
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -95,7 +95,7 @@
 		started: d.clock.Now(), arrivalsBefore: j.arrivals, cancel: cancel,
 	}
 	call := *j.call
-	call.LastEvent = j.lastEvent
+	call.LastEvent = j.events.last
 	call.Deadline = j.deadline
 	d.mu.Lock()
 	send := d.rationer.Sent(t.started, j.retryBudget, peer.Name)
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -41,10 +41,10 @@
 	arrivals     int             // upstreams that the call reached
 	runs         int             // those that may have run it
 	refusals     int
-	denials      int    // permits denied by rate limits
-	usageCounted bool   // the call is in its organisation's usage
-	headerSent   bool   // the header of a stream was sent to the caller
-	lastEvent    string // ID of the last event that was sent to the caller
+	denials      int       // permits denied by rate limits
+	usageCounted bool      // the call is in its organisation's usage
+	headerSent   bool      // the header of a stream was sent to the caller
+	events       numbering // of the events that were sent to the caller
 	fallback     *fallbackResponse
 }
 
@@ -66,7 +66,7 @@
 func (d *Dispatcher) serve(ctx context.Context, call *sequoiasill.Call, reply ResponseWriter, prepare func(j *job)) {
 	d.active.Add(1)
 	defer d.active.Add(-1)
-	j := &job{call: call, reply: reply, tried: make(map[string]bool), triedPeers: make(map[string]bool), lastEvent: call.LastEvent}
+	j := &job{call: call, reply: reply, tried: make(map[string]bool), triedPeers: make(map[string]bool), events: numbering{last: call.LastEvent}}
 	prepare(j)
 	failure := d.admit(j)
 	if failure != nil {
@@ -359,7 +359,7 @@
 	switch {
 	case j.headerSent:
 		d.meter.CallEnded(j.route.Kind, "cut", elapsed)
-		d.log.Info("stream cut", "request", j.call.ID, "reason", reason, "event", j.lastEvent, "after", elapsed)
+		d.log.Info("stream cut", "request", j.call.ID, "reason", reason, "event", j.events.last, "after", elapsed)
 		j.reply.Abort()
 	case errors.Is(context.Cause(ctx), context.Canceled):
 		d.meter.CallEnded(j.route.Kind, "left", elapsed)
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -34,19 +34,22 @@
 	switch {
 	case err == nil:
 		t.clearSuspicion()
-		t.conclude(classifier.End{Kind: classifier.Succeeded}, "streamed", "", "events", f.events, "first", f.timeToFirstEvent)
+		t.conclude(classifier.End{Kind: classifier.Succeeded}, "streamed", "", "events", f.delivered, "first", f.timeToFirstEvent)
 		t.d.meter.CallEnded(t.route.Kind, "good", t.d.clock.Now()-t.call.ArrivedAt)
 		if err := t.reply.End(); err != nil {
 			t.d.log.Info("end of stream not delivered", "request", t.call.ID, "error", err)
 		}
 		return done, ""
 	case e.CallerDisconnected:
-		return t.conclude(e, "caller left", "caller left", "events", f.events)
+		return t.conclude(e, "caller left", "caller left", "events", f.delivered)
 	}
-	if f.events == 0 {
+	switch {
+	case errors.Is(err, errNotResumed):
+		e.Kind = classifier.UnexpectedResponse
+	case f.delivered == 0:
 		e.Kind = classifier.EmptyStream
 	}
-	return t.conclude(e, "stream broke off", "stream broke off", "events", f.events, "error", err, "cause", context.Cause(ctx))
+	return t.conclude(e, "stream broke off", "stream broke off", "events", f.delivered, "error", err, "cause", context.Cause(ctx))
 }
 
 // forwarder copies the events of one response to the caller.
@@ -55,7 +58,8 @@
 
 	response   *Response
 	timer      *attemptTimer
-	events     int
+	delivered  int  // events
+	joined     bool // the response follows the events of earlier ones
 	callerGone bool // a write to the caller failed
 }
 
@@ -70,6 +74,9 @@
 		pending = append(pending, buf[:n]...)
 		if end := completeEventsLen(pending[scanned:]); end > 0 {
 			end += scanned
+			if err := f.checkJoint(pending[:end]); err != nil {
+				return err
+			}
 			if werr := f.deliver(pending[:end]); werr != nil {
 				f.callerGone = true
 				return werr
@@ -91,7 +98,7 @@
 // ends inside an event broke off, and so did one that ended with its connection before its first
 // event or with its upstream. A stream without events is delivered as a header.
 func (f *forwarder) end(ctx context.Context, rest []byte) error {
-	if len(rest) > 0 || f.events == 0 && f.response.UntilClose {
+	if len(rest) > 0 || f.delivered == 0 && f.response.UntilClose {
 		return io.ErrUnexpectedEOF
 	}
 	if err := f.response.complete(ctx); err != nil {
@@ -107,9 +114,28 @@
 	return nil
 }
 
+// errNotResumed is the error of a stream that does not go on after the last event that was delivered.
+var errNotResumed = errors.New("stream does not go on after the last event")
+
+// checkJoint checks that the first event of the response with an ID goes on after the events of
+// earlier ones.
+func (f *forwarder) checkJoint(events []byte) error {
+	if f.joined {
+		return nil
+	}
+	for id := range eventIDs(events) {
+		if !f.events.isNext(id) {
+			return errors.Annotatef(errNotResumed, "event %q after %q", id, f.events.last)
+		}
+		f.joined = true
+		break
+	}
+	return nil
+}
+
 // deliver sends complete events to the caller.
 func (f *forwarder) deliver(b []byte) error {
-	if f.events == 0 {
+	if f.delivered == 0 {
 		f.timer.stop()
 		f.timeToFirstEvent = max(f.d.clock.Now()-f.started, 1)
 		f.recordForMove(false, f.timeToFirstEvent)
@@ -134,9 +160,9 @@
 	if err := f.reply.Write(b); err != nil {
 		return err
 	}
-	f.events += bytes.Count(b, []byte("\n\n"))
-	if id, ok := lastEventID(b); ok {
-		f.lastEvent = id
+	f.delivered += bytes.Count(b, []byte("\n\n"))
+	for id := range eventIDs(b) {
+		f.events.record(id)
 	}
 	return nil
 }
@@ -155,23 +181,3 @@
 	}
 	return end
 }
-
-// lastEventID returns the ID of the last event in b that has one.
-func lastEventID(b []byte) (string, bool) {
-	field := []byte("id:")
-	for end := len(b); end > 0; {
-		i := bytes.LastIndex(b[:end], field)
-		if i < 0 {
-			return "", false
-		}
-		if i == 0 || b[i-1] == '\n' {
-			line := b[i+len(field):]
-			if j := bytes.IndexAny(line, "\r\n"); j >= 0 {
-				line = line[:j]
-			}
-			return string(bytes.TrimPrefix(line, []byte(" "))), true
-		}
-		end = i
-	}
-	return "", false
-}
