Skip late copies of responses to earlier requests on a connection

A replica may write a second copy of a response late, while the next request on the connection waits. Callers of orders got 502 for requests that ran and whose response came right behind the copy; the request ID kept the copy from them. Now a connection remembers the IDs of its last four requests, and a framed response with one of them is read and skipped, at most eight of 64 KiB before one response. The connection is not used again.

TestLateCopyOfAnEarlierResponse fails without it.

--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -88,6 +88,8 @@
 	reader    *bufio.Reader // reads from bounded
 	idleAt    sequoiasill.Millis
 	expiresAt sequoiasill.Millis
+	requests  int      // sent on the connection
+	earlier   []string // IDs of the last of them, without the current one
 }
 
 // sweepInterval is the interval at which idle connections are checked.
@@ -248,6 +250,10 @@
 	Header        http.Header
 	Body          []byte
 	NewConnection bool // opens a new connection
+	// ID identifies the request, and ResponseID returns the ID of the request that a response belongs
+	// to. If both are set, late copies of responses to earlier requests on the connection are skipped.
+	ID         string
+	ResponseID func(*http.Response) string
 	// MaySend is called immediately before the first byte is written, unless it is nil. If it
 	// returns false, nothing is sent and the error wraps ErrWithheld.
 	MaySend func() bool
@@ -260,6 +266,9 @@
 type Exchange struct {
 	Response *http.Response
 	Reused   bool
+	// First is set if no other request was sent on the connection before, so that the response
+	// belongs to this one.
+	First bool
 
 	connector        *Connector
 	conn             *conn
@@ -267,6 +276,7 @@
 	bodyDone         chan error
 	stopContextWatch func() bool
 	bodyWritten      bool
+	skipped          bool // a response to an earlier request came first
 	closeOnce        sync.Once
 }
 
@@ -286,7 +296,8 @@
 		c.put(r.Upstream, k, k.remainingIdle(c.opts.IdleTimeout, c.clock.Now()))
 		return nil, &Error{Verdict: sequoiasill.NotRun, Op: "send to " + r.Address, Err: ErrWithheld}
 	}
-	x := &Exchange{connector: c, conn: k, upstream: r.Upstream, Reused: reused, bodyDone: make(chan error, 1)}
+	x := &Exchange{connector: c, conn: k, upstream: r.Upstream, Reused: reused, First: k.requests == 0, bodyDone: make(chan error, 1)}
+	k.requests++
 	x.stopContextWatch = context.AfterFunc(ctx, func() { c.closeUnfinished(k.net) })
 	head := encodeHead(r)
 	if len(r.Body) <= maxInlineBody {
@@ -308,10 +319,11 @@
 			x.bodyDone <- err
 		}()
 	}
-	if err := x.readResponseHeader(r.Method); err != nil {
+	if err := x.readResponse(r); err != nil {
 		x.abort()
 		return nil, &Error{Verdict: sequoiasill.MayHaveRun, Op: "read response from " + r.Address, Err: err}
 	}
+	k.remember(r.ID)
 	return x, nil
 }
 
@@ -359,6 +371,23 @@
 	return nil
 }
 
+// readResponse reads the header of the response, and skips responses to earlier requests.
+func (x *Exchange) readResponse(r Request) error {
+	for range maxSkipped + 1 {
+		if err := x.readResponseHeader(r.Method); err != nil {
+			return err
+		}
+		if !x.conn.isLate(x.Response, r) {
+			return nil
+		}
+		if err := skipBody(x.Response); err != nil {
+			return errors.Annotate(err, "late response to an earlier request")
+		}
+		x.skipped = true
+	}
+	return errors.Errorf("more than %d late responses to earlier requests", maxSkipped)
+}
+
 // readResponseHeader reads interim responses and the header of the final response.
 func (x *Exchange) readResponseHeader(method string) error {
 	x.conn.bounded.bound(x.connector.opts.MaxHeaderBytes)
@@ -409,7 +438,7 @@
 }
 
 func (x *Exchange) reusable() bool {
-	if x.Response == nil || x.Response.Close || x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0 {
+	if x.Response == nil || x.skipped || x.Response.Close || x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0 {
 		return false
 	}
 	if !x.bodyWritten {
