Test that a response that stops midway is none, at each byte

Another operator's callers got a 200 with an empty body when a replica stopped in the middle of a header. Tested at every byte of four responses through a socket: this does not happen here.

--- a/relay/connector/connector_test.go
+++ b/relay/connector/connector_test.go
@@ -317,3 +317,34 @@
 		t.Errorf("connections end after %s of silence, at least %s are wanted", got, least)
 	}
 }
+
+// A response whose upstream stops anywhere inside its header, or before the end of its body, is no
+// response.
+func TestResponseThatStopsMidway(t *testing.T) {
+	tests := map[string]string{
+		"with a length": "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Type: text/event-stream\r\nContent-Length: 11\r\n\r\nid: 1\ndata\n",
+		"in chunks":     "HTTP/1.1 200 OK\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+		"line feeds":    "HTTP/1.1 200 OK\nSignature: s\nContent-Length: 4\n\ngood",
+		"interim":       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood",
+	}
+	for name, whole := range tests {
+		t.Run(name, func(t *testing.T) {
+			written := make(chan string, 1)
+			u := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				part := <-written
+				if readRequest(r) {
+					_, _ = io.WriteString(c, part)
+				}
+			})
+			c := newConnector(t)
+			for n := range whole {
+				written <- whole[:n]
+				r := request(u)
+				r.NewConnection = true
+				if got, err := exchange(t, c, r); err == nil {
+					t.Errorf("the first %d bytes, up to %q, are a response with the body %q", n, whole[max(n-20, 0):n], got)
+				}
+			}
+		})
+	}
+}
