--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -312,7 +312,8 @@
 	if err == nil && a.Authentic {
 		err = a.complete(ctx)
 	}
-	a.Close(err == nil)
+	// The response to this call may still follow one that is not the upstream's.
+	a.Close(err == nil && a.Authentic)
 	e := classifier.End{Kind: classifier.UnexpectedResponse, CallerDisconnected: callerDisconnected(ctx), Pause: a.Pause}
 	switch {
 	case e.CallerDisconnected:
