Check upstreams of plain calls after responses without framing

The same cause in the product's own pipeline: a plain service that died inside a response without length or chunks, whose callers got what had come as whole. The forwarder now reads bodies itself, so that the header still tells how the response was framed, and checks that the upstream accepts connections.

--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -47,7 +47,6 @@
 func New(opts Options) *Forwarder {
 	f := &Forwarder{opts: opts}
 	f.stream = f.newClient(f.dialWithReadTimeout, maxConnsPerUpstream)
-	f.stream.StreamResponseBody = true
 	f.plain = f.newClient(f.dial, maxConnsPerUpstream)
 	f.singleUse = f.newClient(f.dial, maxConnsPerUpstream)
 	return f
@@ -55,7 +54,9 @@
 
 func (f *Forwarder) newClient(dial fasthttp.DialFunc, maxConns int) *fasthttp.Client {
 	return &fasthttp.Client{
-		Dial:                          dial,
+		Dial: dial,
+		// The header of a response with its body tells its length, whether it was sent or not.
+		StreamResponseBody:            true,
 		MaxConnsPerHost:               maxConns,
 		MaxIdleConnDuration:           maxIdleDuration,
 		MaxIdemponentCallAttempts:     1,
@@ -189,16 +190,27 @@
 	if err := f.clientFor(c.SingleUse).DoTimeout(req, resp, c.Timeout.Duration()); err != nil {
 		return Response{}, connectionError(err)
 	}
+	defer func() { _ = resp.CloseBodyStream() }()
 	if echoedID := resp.Header.Peek(RequestIDHeader); len(echoedID) > 0 && string(echoedID) != string(c.RequestID) {
 		return Response{}, &AttemptError{Verdict: sequoiasill.MayHaveRun, Err: errors.Errorf("response belongs to request %s", echoedID)}
 	}
-	body := append([]byte(nil), resp.Body()...)
+	body, err := io.ReadAll(resp.BodyStream())
+	if err != nil {
+		return Response{}, &AttemptError{Verdict: sequoiasill.MayHaveRun, Err: err}
+	}
+	// The connections of an upstream that dies end as those of one that has sent its whole response.
+	if resp.Header.ContentLength() == untilClose && !f.Reachable(c.Address) {
+		return Response{}, &AttemptError{Verdict: sequoiasill.MayHaveRun, Err: errors.New("upstream ended with its response")}
+	}
 	if sequoiasill.ParseVerdict(string(resp.Header.Peek(VerdictHeader))) == sequoiasill.NotRun {
 		return Response{}, statusError(resp, body)
 	}
 	return Response{Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType()), Body: body}, nil
 }
 
+// untilClose is the content length of a response that ends with its connection.
+const untilClose = -2
+
 func (f *Forwarder) clientFor(singleUse bool) *fasthttp.Client {
 	if singleUse {
 		return f.singleUse
