Soak: end the process of a replica under responses without framing

The soak's crashes reset their connections, so it could not show the incident. The new fault ends a replica's connections in an orderly way while most of its responses have no framing.

--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -48,6 +48,7 @@
 	{"crash a replica", false, func(h *Harness, duration time.Duration) {
 		h.withRandomReplica(func(r *replica) { h.crashReplica(r, duration) })
 	}},
+	{endProcessFault, false, (*Harness).endReplicaProcess},
 	{"send a request that crashes replicas", false, (*Harness).sendCrashingRunOnce},
 	{deadlyPartFault, false, (*Harness).sendDeadlyPrompts},
 	{"reset a replica's connections", false, func(h *Harness, _ time.Duration) { h.withRandomReplica(func(r *replica) { r.proxy.reset() }) }},
@@ -215,15 +216,37 @@
 	return registered
 }
 
+const (
+	endProcessFault = "end the process of a replica under responses without framing"
+	// frequentUnframedPer1000 is the share of such responses before the process ends.
+	frequentUnframedPer1000 = 800
+)
+
+// endReplicaProcess ends the process of a replica once most of its responses have no framing. Its
+// connections end without a reset.
+func (h *Harness) endReplicaProcess(duration time.Duration) {
+	h.withRandomReplica(func(r *replica) {
+		r.unframedPer1000.Store(frequentUnframedPer1000)
+		time.Sleep(min(duration, time.Second))
+		h.restartReplica(r, duration, r.die)
+	})
+}
+
 // crashReplica closes a replica and, after the given duration, starts another one at the same
 // address.
 func (h *Harness) crashReplica(r *replica, duration time.Duration) {
+	h.restartReplica(r, duration, r.close)
+}
+
+// restartReplica ends a replica and, after the given duration, starts another one at the same address.
+func (h *Harness) restartReplica(r *replica, duration time.Duration, end func()) {
 	if !h.unregister(r) {
 		return
 	}
 	address := r.address()
-	r.close()
+	end()
 	time.Sleep(duration)
+	r.proxy.close()
 	h.deregister(r)
 	if err := h.addReplica(r.service, address); err != nil {
 		h.checker.addViolation("replica not started: %v", err)
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -31,6 +31,7 @@
 	rejectsPer1000     atomic.Int64 // calls per 1000 that are rejected
 	pauseMillis        atomic.Int64 // pause requested with each rejection
 	draining           atomic.Bool  // announced in all responses
+	unframedPer1000    atomic.Int64 // responses per 1000 that have neither a length nor chunks and end with their connection
 	extraLatencyMillis atomic.Int64 // added to the latency of each call
 	brittle            brittleness
 	limitPer1000s      atomic.Int64 // rate limit across all entries in calls per 1000 seconds; 0 for none
@@ -66,6 +67,7 @@
 		return nil, err
 	}
 	r := &replica{id: id, service: service, onCrash: onCrash, checker: checker, proxy: p, state: "ready"}
+	r.unframedPer1000.Store(usualUnframedPer1000)
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: 5 * time.Second}
 	go func() {
 		// Serve returns when the replica is closed.
@@ -82,6 +84,13 @@
 	_ = r.server.Close()
 }
 
+// die closes the replica and its connections as the kernel does when a process ends: without a reset.
+func (r *replica) die() {
+	// An error means that the listener is closed already.
+	_ = r.proxy.listener.Close()
+	_ = r.server.Close()
+}
+
 // storeRecord returns the record that the replica writes to the store.
 func (r *replica) storeRecord() any {
 	r.mu.Lock()
@@ -148,9 +157,9 @@
 	r.checker.recordLimit(r.id, perSecond(limit))
 }
 
-// unframedPer1000 is the number of responses per 1000 that have neither a length nor chunks and
-// end with their connection.
-const unframedPer1000 = 50
+// usualUnframedPer1000 is the number of responses per 1000 that have neither a length nor chunks
+// unless a fault raises it.
+const usualUnframedPer1000 = 50
 
 // crashPath is the last path element of requests that crash the replicas that execute them.
 const crashPath = "crash"
@@ -251,7 +260,7 @@
 		return
 	}
 	w.Header().Set("Signature", "s")
-	if rand.Int64N(1000) < unframedPer1000 {
+	if rand.Int64N(1000) < r.unframedPer1000.Load() {
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
 	if req.URL.Path != routePaths[onceStream]+id && req.URL.Path != routePaths[resumableStream]+id {
--- a/standin/soaker/storms.go
+++ b/standin/soaker/storms.go
@@ -38,6 +38,7 @@
 	{"send a request that may repeat and crashes replicas", false, func(h *Harness, _ time.Duration) { h.sendCrashingRequests(repeatable) }},
 	{"send a stream that crashes replicas", false, func(h *Harness, _ time.Duration) { h.sendCrashingRequests(resumableStream) }},
 	{deadlyPartFault, false, (*Harness).sendDeadlyPrompts},
+	{endProcessFault, false, (*Harness).endReplicaProcess},
 	{"cut the answers of a service", false, func(h *Harness, duration time.Duration) {
 		h.injectNetworkFault(h.randomServiceReplicas(), dropResponses, duration)
 	}},
