Soak: a replica repeats refusals on kept connections

Proxies send a refusal once more when the next request on its connection is forwarded, half of them without the request ID.

--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -49,6 +49,7 @@
 		h.withRandomReplica(func(r *replica) { h.crashReplica(r, duration) })
 	}},
 	{endProcessFault, false, (*Harness).endReplicaProcess},
+	{repeatRefusalsFault, false, (*Harness).repeatReplicaRefusals},
 	{"send a request that crashes replicas", false, (*Harness).sendCrashingRunOnce},
 	{deadlyPartFault, false, (*Harness).sendDeadlyPrompts},
 	{"reset a replica's connections", false, func(h *Harness, _ time.Duration) { h.withRandomReplica(func(r *replica) { r.proxy.reset() }) }},
--- a/standin/soaker/proxy.go
+++ b/standin/soaker/proxy.go
@@ -11,11 +11,12 @@
 type networkFault int
 
 const (
-	noFault       networkFault = iota
-	delayData                  // each read is delayed by a random time
-	blackhole                  // no data is forwarded and no connection is closed
-	dropResponses              // requests are forwarded, responses are not
-	stall                      // no data is forwarded until the fault ends, as with a paused process
+	noFault        networkFault = iota
+	delayData                   // each read is delayed by a random time
+	blackhole                   // no data is forwarded and no connection is closed
+	dropResponses               // requests are forwarded, responses are not
+	stall                       // no data is forwarded until the fault ends, as with a paused process
+	repeatRefusals              // a refusal is sent once more when the next request on its connection is forwarded
 )
 
 // proxy forwards connections to an address and can inject network faults into them.
@@ -205,8 +206,12 @@
 	defer p.track(client, false)
 	defer p.track(server, false)
 	done := make(chan struct{}, 2)
-	go func() { p.relay(server, client, sender, func() {}, false); done <- struct{}{} }()
-	go func() { p.relay(client, server, sender, func() { p.markLossy(server) }, true); done <- struct{}{} }()
+	refusals := &refusalRepeater{client: client}
+	go func() { p.relay(server, client, sender, func() {}, refusals, false); done <- struct{}{} }()
+	go func() {
+		p.relay(client, server, sender, func() { p.markLossy(server) }, refusals, true)
+		done <- struct{}{}
+	}()
 	<-done
 }
 
@@ -215,7 +220,7 @@
 
 // relay copies data as the active fault permits and calls onDrop when it drops some. A
 // blackholed connection stays blackholed after the fault has ended.
-func (p *proxy) relay(dst, src net.Conn, sender int, onDrop func(), responses bool) {
+func (p *proxy) relay(dst, src net.Conn, sender int, onDrop func(), refusals *refusalRepeater, responses bool) {
 	buf := make([]byte, 16<<10)
 	blackholed := false
 	for {
@@ -230,6 +235,9 @@
 			// A peer that misses data must not see a regular end.
 			resetOnClose(dst)
 		}
+		if n > 0 && f == repeatRefusals {
+			refusals.forward(buf[:n], responses)
+		}
 		if n > 0 && !blackholed {
 			if _, writeErr := dst.Write(buf[:n]); writeErr != nil {
 				return
--- a/standin/soaker/storms.go
+++ b/standin/soaker/storms.go
@@ -39,6 +39,7 @@
 	{"send a stream that crashes replicas", false, func(h *Harness, _ time.Duration) { h.sendCrashingRequests(resumableStream) }},
 	{deadlyPartFault, false, (*Harness).sendDeadlyPrompts},
 	{endProcessFault, false, (*Harness).endReplicaProcess},
+	{repeatRefusalsFault, false, (*Harness).repeatReplicaRefusals},
 	{"cut the answers of a service", false, func(h *Harness, duration time.Duration) {
 		h.injectNetworkFault(h.randomServiceReplicas(), dropResponses, duration)
 	}},
