Charge crashes at once where the upstream closed the connection

Cause: an end of file counted as a sign of a broken path. It is the upstream's own close, which arrives over a path that works; broken paths end connections by resets and timeouts. Only these wait for the paths and are compared with others now.

The case 'all upstreams close the connections' of TestConnectionsThatBreakTogetherChargeNobody failed before (0 of 3 charges).

--- a/decide/classifier/classifier.go
+++ b/decide/classifier/classifier.go
@@ -36,6 +36,7 @@
 	Kind               Kind
 	CallerDisconnected bool               // the caller disconnected
 	EndedHere          bool               // ended by this entry: the caller disconnected or the deadline passed
+	ClosedByUpstream   bool               // the connection ended with the upstream's own close, not with a reset or a timeout
 	Pause              sequoiasill.Millis // requested by the upstream with status 503, 0 for none
 }
 
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 
@@ -94,7 +95,7 @@
 // classifySendError returns the end of a send without a response. Bytes that were written may
 // still reach the upstream, unless it closed the connection.
 func classifySendError(ctx context.Context, err error, withheld bool) classifier.End {
-	e := classifier.End{EndedHere: ctx.Err() != nil, CallerDisconnected: callerDisconnected(ctx)}
+	e := classifier.End{EndedHere: ctx.Err() != nil, CallerDisconnected: callerDisconnected(ctx), ClosedByUpstream: isClose(err)}
 	var timeout net.Error
 	switch {
 	case withheld:
@@ -111,6 +112,10 @@
 	return e
 }
 
+// isClose reports whether an error is due to the close of the connection by the upstream. Its close
+// arrives over a path that works, while broken paths end connections by resets and timeouts.
+func isClose(err error) bool { return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) }
+
 func callerDisconnected(ctx context.Context) bool {
 	return errors.Is(context.Cause(ctx), context.Canceled)
 }
@@ -191,7 +196,11 @@
 		t.recordBreak()
 		t.d.paths.Failed(t.service)
 	}
-	if a.ChargeCrash && !t.relay {
+	switch {
+	case !a.ChargeCrash || t.relay:
+	case e.ClosedByUpstream:
+		t.recordCrash()
+	default:
 		at := t.d.clock.Now()
 		t.d.whenReached(t.service, "crash", func() { t.recordCrashUnlessTogether(at) })
 	}
@@ -217,7 +226,7 @@
 
 // brokePath reports whether the end of the attempt may be due to the path to the upstream.
 func (t *try) brokePath(e classifier.End) bool {
-	if t.relay {
+	if t.relay || e.ClosedByUpstream {
 		return false
 	}
 	switch e.Kind {
@@ -314,7 +323,7 @@
 	}
 	// The response to this call may still follow one that is not the upstream's.
 	a.Close(err == nil && a.Authentic)
-	e := classifier.End{Kind: classifier.UnexpectedResponse, CallerDisconnected: callerDisconnected(ctx), Pause: a.Pause}
+	e := classifier.End{Kind: classifier.UnexpectedResponse, CallerDisconnected: callerDisconnected(ctx), Pause: a.Pause, ClosedByUpstream: isClose(err)}
 	switch {
 	case e.CallerDisconnected:
 		return t.conclude(e, "caller left", "caller left")
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -32,6 +32,7 @@
 type step struct {
 	verdict       sequoiasill.Verdict // of an attempt that fails
 	fail          bool
+	closed        bool // it fails as the upstream closes the connection
 	hang          bool               // until the attempt is cancelled
 	delay         sequoiasill.Millis // before the response starts
 	ignoresCancel bool
@@ -48,10 +49,14 @@
 	limit         registrar.Limit
 }
 
-type sendError struct{ v sequoiasill.Verdict }
+type sendError struct {
+	v     sequoiasill.Verdict
+	cause error
+}
 
 func (e sendError) Error() string            { return "not sent or lost" }
 func (e sendError) Ran() sequoiasill.Verdict { return e.v }
+func (e sendError) Unwrap() error            { return e.cause }
 
 // fakeTransport plays its steps in turn, repeats the last one, and records the attempts.
 type fakeTransport struct {
@@ -70,7 +75,7 @@
 	}
 	if !a.MaySend() {
 		c.withheld++
-		return nil, sendError{sequoiasill.NotRun}
+		return nil, sendError{v: sequoiasill.NotRun}
 	}
 	c.mu.Lock()
 	s := c.steps[min(len(c.attempts), len(c.steps)-1)]
@@ -78,11 +83,14 @@
 	c.mu.Unlock()
 	if s.hang {
 		<-ctx.Done()
-		return nil, sendError{sequoiasill.MayHaveRun}
+		return nil, sendError{v: sequoiasill.MayHaveRun}
 	}
 	if s.fail {
 		time.Sleep(s.delay.Duration())
-		return nil, sendError{s.verdict}
+		if s.closed {
+			return nil, sendError{s.verdict, io.ErrUnexpectedEOF}
+		}
+		return nil, sendError{v: s.verdict}
 	}
 	ended := ctx.Done()
 	if s.ignoresCancel {
@@ -90,7 +98,7 @@
 	}
 	select {
 	case <-ended:
-		return nil, sendError{sequoiasill.MayHaveRun}
+		return nil, sendError{v: sequoiasill.MayHaveRun}
 	case <-time.After(s.delay.Duration()):
 	}
 	var body io.Reader = strings.NewReader(s.body)
@@ -531,7 +539,7 @@
 		err  error
 		want sequoiasill.Verdict
 	}{
-		"with a verdict":    {fmt.Errorf("send: %w", sendError{sequoiasill.NotRun}), sequoiasill.NotRun},
+		"with a verdict":    {fmt.Errorf("send: %w", sendError{v: sequoiasill.NotRun}), sequoiasill.NotRun},
 		"without a verdict": {errors.New("reset"), sequoiasill.MayHaveRun},
 	}
 	for name, tc := range tests {
--- a/relay/dispatcher/latearrivals_test.go
+++ b/relay/dispatcher/latearrivals_test.go
@@ -34,7 +34,7 @@
 	}
 	f.mu.Unlock()
 	<-ctx.Done()
-	return nil, sendError{sequoiasill.MayHaveRun}
+	return nil, sendError{v: sequoiasill.MayHaveRun}
 }
 
 func (f *stalledTransport) resume() {
--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -89,7 +89,7 @@
 	case s.refusal != nil:
 		return nil, &dispatcher.RefusalError{Failure: s.refusal, Runs: s.runs}
 	case s.lost:
-		return nil, sendError{s.verdict}
+		return nil, sendError{v: s.verdict}
 	}
 	var body io.Reader = strings.NewReader(s.body)
 	if s.broken {
@@ -314,18 +314,20 @@
 // reaches the upstreams again at once.
 func TestConnectionsThatBreakTogetherChargeNobody(t *testing.T) {
 	tests := map[string]struct {
-		upstreams int // whose connections break
+		upstreams int  // whose connections break
+		closed    bool // by their own close
 		charges   int
 	}{
-		"one upstream":  {1, 1},
-		"two upstreams": {2, 2},
-		"all upstreams": {3, 0},
+		"one upstream":                        {1, false, 1},
+		"two upstreams":                       {2, false, 2},
+		"all upstreams":                       {3, false, 0},
+		"all upstreams close the connections": {3, true, 3},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			var steps []step
 			for range tc.upstreams {
-				steps = append(steps, step{fail: true, verdict: sequoiasill.MayHaveRun, delay: 100})
+				steps = append(steps, step{fail: true, closed: tc.closed, verdict: sequoiasill.MayHaveRun, delay: 100})
 			}
 			c, u := &fakeTransport{steps: append(steps, step{status: 200, delay: 500})}, &fakePeers{usageCounts: make(map[string]int)}
 			p := &fakePaths{state: pathmonitor.InDoubt}
