Spare no part for one that was served after the first crashes

Only a suspect that was not served since the first of the crashes spares another one now.

The new case of TestPartIsQuarantined failed before.

--- a/decide/partblamer/collector.go
+++ b/decide/partblamer/collector.go
@@ -121,6 +121,11 @@
 	}
 }
 
+// firstCrash returns the time of the first crash.
+func (s *suspicion) firstCrash() sequoiasill.Millis {
+	return slices.MinFunc(s.crashes, func(a, b Crash) int { return cmp.Compare(a.At, b.At) }).At
+}
+
 // upstreamsWithout returns the number of upstreams that crashed only under calls without another
 // part.
 func (s *suspicion) upstreamsWithout(other Part) int {
@@ -187,13 +192,15 @@
 
 // guiltiest returns the strongest suspicion that suffices for a quarantine, or nil. A part is
 // spared while another suspect, which was in fewer calls, was in nearly all of its calls: the
-// part may merely have been in a further call that crashed for another reason.
+// part may merely have been in a further call that crashed for another reason. A suspect that was
+// served after the first of the crashes did not cause that one, and is in fewer calls as the crashes
+// before its service do not count.
 func (b *Blamer) guiltiest(now sequoiasill.Millis, cases map[Part]*suspicion) *suspicion {
 	ordered := sorted(cases)
 	for _, s := range ordered {
 		spared := slices.ContainsFunc(ordered, func(other *suspicion) bool {
 			return len(other.crashedAt) >= b.opts.SuspicionThreshold && len(other.crashes) < len(s.crashes) &&
-				s.upstreamsWithout(other.part) < b.opts.CrashThreshold
+				other.servedAt < s.firstCrash() && s.upstreamsWithout(other.part) < b.opts.CrashThreshold
 		})
 		if !spared && b.suffices(now, s) {
 			return s
--- a/decide/partblamer/partblamer_test.go
+++ b/decide/partblamer/partblamer_test.go
@@ -113,6 +113,16 @@
 				c.crash(i, prompt(rare, deadly))
 			}
 		}, []partblamer.Signature{{rare, deadly}}},
+		"a sound part in all calls with the deadly one, served after the first crashes": {func(c *collector) {
+			for i := range uint64(6) {
+				if i == 3 {
+					c.serve(rare)
+				}
+				c.RecordCrash(c.now, partblamer.Crash{Request: i, Upstream: i, At: c.now, Parts: prompt(rare, deadly)})
+				c.tick(100)
+			}
+			c.tick(second)
+		}, []partblamer.Signature{{deadly}}},
 		"crashes long ago": {func(c *collector) {
 			for i := range uint64(5) {
 				c.crash(i, prompt(deadly))
