Narrow quarantined signatures whose parts crash upstreams alone

A signature holds all parts that the first crashed calls had in common and that were never served. Crashes that a quarantine explains count on for the parts of its signature now: two further upstreams that crash under one of them, without the rest and without a service, quarantine what all its crashed calls have in common.

The first of three new cases of TestPartIsQuarantined failed before; the others keep sound parts.

--- a/decide/partblamer/collector.go
+++ b/decide/partblamer/collector.go
@@ -26,7 +26,7 @@
 	for {
 		cases := b.cases(now, served)
 		b.updateSuspects(now, cases)
-		guilty := b.guiltiest(now, cases)
+		guilty := b.guiltiest(now, cases, served)
 		if guilty == nil {
 			return
 		}
@@ -71,7 +71,8 @@
 	return out
 }
 
-// suspicion holds the unexplained crashes under a part since it was last served.
+// suspicion holds the crashes under a part since it was last served. Crashes that a quarantine explains
+// count only for the parts of its signature.
 type suspicion struct {
 	part     Part
 	servedAt sequoiasill.Millis // 0 if it never was
@@ -79,10 +80,15 @@
 	// crashedAt holds the time of the crash by upstream.
 	crashedAt map[uint64]sequoiasill.Millis
 	requests  map[uint64]bool
+	// explained reports that some of the crashes are explained by a quarantine whose signature holds
+	// the part, and unexplainedAt holds the time of each other crash by upstream.
+	explained     bool
+	unexplainedAt map[uint64]sequoiasill.Millis
 }
 
 // cases returns a suspicion for each part that took part in crashes. Crashes of upstreams that
-// also ran a quarantined signature are explained by it.
+// also ran a quarantined signature are explained by it. They count on for the parts of that signature,
+// as it may hold more parts than the deadly one.
 func (b *Blamer) cases(now sequoiasill.Millis, served map[Part]sequoiasill.Millis) map[Part]*suspicion {
 	crashes := b.allCrashes()
 	explained := make(map[uint64]bool)
@@ -95,29 +101,64 @@
 	}
 	out := make(map[Part]*suspicion)
 	for _, c := range crashes {
-		if explained[c.Upstream] {
-			continue
-		}
 		for _, p := range c.Parts {
-			if c.At <= served[p] {
+			if c.At <= served[p] || explained[c.Upstream] && !b.isInSignature(now, c, p) {
 				continue
 			}
 			s := out[p]
 			if s == nil {
-				s = &suspicion{part: p, servedAt: served[p], crashedAt: make(map[uint64]sequoiasill.Millis), requests: make(map[uint64]bool)}
+				s = newSuspicion(p, served[p])
 				out[p] = s
 			}
-			s.add(c)
+			s.add(c, explained[c.Upstream])
 		}
 	}
 	return out
 }
 
-func (s *suspicion) add(c Crash) {
+// isInSignature reports whether a quarantined signature of several parts matches a crashed call and
+// holds one of its parts.
+func (b *Blamer) isInSignature(now sequoiasill.Millis, c Crash, p Part) bool {
+	for _, q := range b.quarantines {
+		if q.until > now && len(q.signature) > 1 && slices.Contains(q.signature, p) && q.signature.matches(c.Parts) {
+			return true
+		}
+	}
+	return false
+}
+
+// isQuarantined reports whether a quarantine already refuses all calls with a signature.
+func (b *Blamer) isQuarantined(now sequoiasill.Millis, s Signature) bool {
+	for _, q := range b.quarantines {
+		if q.until > now && q.signature.matches(s) {
+			return true
+		}
+	}
+	return false
+}
+
+func newSuspicion(p Part, servedAt sequoiasill.Millis) *suspicion {
+	return &suspicion{
+		part: p, servedAt: servedAt, crashedAt: make(map[uint64]sequoiasill.Millis), requests: make(map[uint64]bool),
+		unexplainedAt: make(map[uint64]sequoiasill.Millis),
+	}
+}
+
+func (s *suspicion) add(c Crash, explained bool) {
 	s.crashes = append(s.crashes, c)
 	s.requests[c.Request] = true
-	if at, known := s.crashedAt[c.Upstream]; !known || c.At < at {
-		s.crashedAt[c.Upstream] = c.At
+	setEarliest(s.crashedAt, c)
+	if explained {
+		s.explained = true
+		return
+	}
+	setEarliest(s.unexplainedAt, c)
+}
+
+// setEarliest records the time of the first crash of an upstream.
+func setEarliest(times map[uint64]sequoiasill.Millis, c Crash) {
+	if at, known := times[c.Upstream]; !known || c.At < at {
+		times[c.Upstream] = c.At
 	}
 }
 
@@ -139,9 +180,9 @@
 }
 
 // outages returns the number of crashes, where those within a window of time count as one.
-func (s *suspicion) outages(window sequoiasill.Millis) int {
+func outages(crashedAt map[uint64]sequoiasill.Millis, window sequoiasill.Millis) int {
 	n, last := 0, sequoiasill.Millis(0)
-	for _, at := range slices.Sorted(maps.Values(s.crashedAt)) {
+	for _, at := range slices.Sorted(maps.Values(crashedAt)) {
 		if n == 0 || at-last >= window {
 			n, last = n+1, at
 		}
@@ -195,29 +236,36 @@
 // part may merely have been in a further call that crashed for another reason. A suspect that was
 // served after the first of the crashes did not cause that one, and is in fewer calls as the crashes
 // before its service do not count.
-func (b *Blamer) guiltiest(now sequoiasill.Millis, cases map[Part]*suspicion) *suspicion {
+func (b *Blamer) guiltiest(now sequoiasill.Millis, cases map[Part]*suspicion, served map[Part]sequoiasill.Millis) *suspicion {
 	ordered := sorted(cases)
 	for _, s := range ordered {
 		spared := slices.ContainsFunc(ordered, func(other *suspicion) bool {
 			return len(other.crashedAt) >= b.opts.SuspicionThreshold && len(other.crashes) < len(s.crashes) &&
 				other.servedAt < s.firstCrash() && s.upstreamsWithout(other.part) < b.opts.CrashThreshold
 		})
-		if !spared && b.suffices(now, s) {
+		if b.suffices(now, s, served) && (s.explained || !spared) {
 			return s
 		}
 	}
 	return nil
 }
 
-func (b *Blamer) suffices(now sequoiasill.Millis, s *suspicion) bool {
+// suffices reports whether a suspicion suffices for a quarantine. That calls with a part of a
+// quarantined signature, but not with all of it, crash further upstreams shows that the signature
+// holds parts that are not deadly.
+func (b *Blamer) suffices(now sequoiasill.Millis, s *suspicion, served map[Part]sequoiasill.Millis) bool {
 	since, suspected := b.suspectedSince[s.part]
 	if !suspected || now-since < b.opts.ReplyTime || len(s.requests) < b.opts.MinRequests {
 		return false
 	}
-	if s.servedAt == 0 {
-		return s.outages(b.opts.OutageWindow) >= b.opts.CrashThreshold
+	n := outages(s.crashedAt, b.opts.OutageWindow)
+	switch {
+	case s.explained:
+		return s.servedAt == 0 && len(s.unexplainedAt) >= b.opts.SuspicionThreshold && !b.isQuarantined(now, s.signature(served))
+	case s.servedAt == 0:
+		return n >= b.opts.CrashThreshold
 	}
-	return s.outages(b.opts.OutageWindow) >= b.opts.KnownCrashThreshold && now-s.servedAt >= b.opts.MinSilence
+	return n >= b.opts.KnownCrashThreshold && now-s.servedAt >= b.opts.MinSilence
 }
 
 // sorted returns the suspicions in the order of their strength: parts that were never served
--- a/decide/partblamer/partblamer_test.go
+++ b/decide/partblamer/partblamer_test.go
@@ -123,6 +123,28 @@
 			}
 			c.tick(second)
 		}, []partblamer.Signature{{deadly}}},
+		"a new part that comes with the deadly one only at first": {func(c *collector) {
+			for i := range uint64(3) {
+				c.crash(i, prompt(rare, deadly))
+			}
+			c.crash(3, prompt(other, deadly))
+			c.crash(4, prompt(hot, deadly))
+		}, []partblamer.Signature{{rare, deadly}, {deadly}}},
+		"new parts that always come together, one of them in a further crash": {func(c *collector) {
+			for i := range uint64(3) {
+				c.crash(i, prompt(rare, deadly))
+			}
+			c.crash(3, prompt(rare))
+		}, []partblamer.Signature{{rare, deadly}}},
+		"the same in further crashes, and served": {func(c *collector) {
+			for i := range uint64(3) {
+				c.crash(i, prompt(rare, deadly))
+			}
+			c.crash(3, prompt(rare))
+			c.serve(rare)
+			c.crash(4, prompt(rare))
+			c.crash(5, prompt(rare))
+		}, []partblamer.Signature{{rare, deadly}}},
 		"crashes long ago": {func(c *collector) {
 			for i := range uint64(5) {
 				c.crash(i, prompt(deadly))
