Publish the state of the paths with versions that increase

Cause: the version of the announcement was the time in milliseconds. Class: a timestamp taken for a version. The version is now above that of the known fact, and state and version change under one lock. The announcement of an unavailable store had the same fault.

--- a/relay/exchanger/crashes.go
+++ b/relay/exchanger/crashes.go
@@ -94,11 +94,17 @@
 	if !ok {
 		return
 	}
+	e.gossip.Publish(key, e.newerVersion(key), b, true, partTTL)
+}
+
+// newerVersion returns a version of a fact that supersedes the known one: the time, or the version
+// after the known one if that was published in the same millisecond or by a clock that is ahead.
+func (e *Exchanger) newerVersion(key string) uint64 {
 	version := uint64(e.clock.Now())
 	if f, known := e.gossip.Fact(key); known {
 		version = max(version, f.Version+1)
 	}
-	e.gossip.Publish(key, version, b, true, partTTL)
+	return version
 }
 
 // encodeFact encodes the value of a fact and logs a failure.
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -185,13 +185,15 @@
 	targetAddress    string                    // address of the entry that announced it
 	stateVersion     uint64                    // version of the last state sent
 	recentDemands    []Demand                  // own demand in the last reports, oldest first
-	unreachable      []string                  // services whose upstreams this entry does not reach
 	storeUnavailable bool                      // the store is unavailable to this entry
 
 	spent      map[string]float64 // by all entries that report to this collector, per organisation
 	ownSpent   map[string]float64 // part of it that this entry spent
 	lastPushed map[string]float64 // tokens last published as urgent
 
+	unreachableMu sync.Mutex
+	unreachable   []string // services whose upstreams this entry does not reach
+
 	compressMu        sync.Mutex
 	compressed        []byte // gzipped configuration of compressedVersion
 	compressedVersion uint64
--- a/relay/exchanger/paths.go
+++ b/relay/exchanger/paths.go
@@ -20,29 +20,30 @@
 // SetUnreachable publishes the services whose upstreams this entry does not reach. Other entries
 // then let it serve no calls of theirs.
 func (e *Exchanger) SetUnreachable(services []string) {
-	e.mu.Lock()
-	changed := !slices.Equal(e.unreachable, services)
-	e.unreachable = services
-	e.mu.Unlock()
-	if changed {
-		e.publishUnreachable(services)
+	e.unreachableMu.Lock()
+	defer e.unreachableMu.Unlock()
+	if !slices.Equal(e.unreachable, services) {
+		e.unreachable = services
+		e.publishUnreachable()
 	}
 }
 
-func (e *Exchanger) publishUnreachable(services []string) {
-	e.gossip.Publish(keyUnreachable+e.opts.Name, uint64(e.clock.Now()), []byte(strings.Join(services, " ")), true, unreachableTTL)
+// publishUnreachable publishes the unreachable services. The caller holds unreachableMu, so that the
+// newest state has the highest version.
+func (e *Exchanger) publishUnreachable() {
+	key := keyUnreachable + e.opts.Name
+	e.gossip.Publish(key, e.newerVersion(key), []byte(strings.Join(e.unreachable, " ")), true, unreachableTTL)
 }
 
 // renewUnreachable publishes the unreachable services again before the last publication expires.
 func (e *Exchanger) renewUnreachable() {
-	e.mu.Lock()
-	services := e.unreachable
-	e.mu.Unlock()
-	if len(services) == 0 {
+	e.unreachableMu.Lock()
+	defer e.unreachableMu.Unlock()
+	if len(e.unreachable) == 0 {
 		return
 	}
 	if f, ok := e.gossip.Fact(keyUnreachable + e.opts.Name); !ok || f.Expires-e.clock.Now() < unreachableTTL/2 {
-		e.publishUnreachable(services)
+		e.publishUnreachable()
 	}
 }
 
--- a/relay/exchanger/paths_test.go
+++ b/relay/exchanger/paths_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 )
 
 // Entries offer no calls to those that announce that they do not reach the upstreams, or that they
@@ -27,3 +28,27 @@
 	entries[2].Leave()
 	await(t, "ways without the entry that leaves", []string{"e1"}, ways("model"))
 }
+
+// Guards against entries that others take for partitioned for seconds after its paths are restored:
+// the newest state is told also if several services change in the same millisecond.
+func TestPathsOfTwoServicesChangeTogether(t *testing.T) {
+	entries := cluster(t, 3)
+	ways := func() []string {
+		var out []string
+		for _, p := range entries[0].WaysTo("model") {
+			out = append(out, p.Name)
+		}
+		return out
+	}
+	await(t, "ways at first", []string{"e1", "e2"}, ways)
+	entries[1].SetUnreachable([]string{"plain"})
+	entries[1].SetUnreachable([]string{"model", "plain"})
+	await(t, "ways to a service that an entry does not reach", []string{"e2"}, ways)
+	entries[1].SetUnreachable([]string{"model"})
+	entries[1].SetUnreachable(nil)
+	began := time.Now()
+	await(t, "ways to a service that is reached again", []string{"e1", "e2"}, ways)
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("it took %s until an entry was told", took)
+	}
+}
--- a/relay/exchanger/roster.go
+++ b/relay/exchanger/roster.go
@@ -21,7 +21,8 @@
 	if unavailable {
 		value = []byte{1}
 	}
-	e.gossip.Publish(keyUnavailable+e.opts.Name, uint64(e.clock.Now()), value, true, unavailableTTL)
+	key := keyUnavailable + e.opts.Name
+	e.gossip.Publish(key, e.newerVersion(key), value, true, unavailableTTL)
 }
 
 // WatchPosition returns this entry's position among the entries that watch the store on behalf
