--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,11 @@
 LINT_VERSION := v2.15.0
 MODULES := . ./cmd ./config ./control ./decide ./entry ./platform ./relay ./standin
 
-.PHONY: run test build fmt lint stats spec capacity proto
+# The commit that runs in production, and the program that is built from it.
+PRODUCTION ?= $(shell cat deploy/production)
+PRODUCTION_BINARY ?= $(TOOLS)/sequoia-edge-production
+
+.PHONY: run test build production fmt lint stats spec capacity proto
 
 # Runs a complete deployment in one process and prints sample calls.
 run:
@@ -17,6 +21,12 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
+# Builds the entry that runs in production from the repository's history.
+production:
+	@git cat-file -e $(PRODUCTION) || { echo "commit $(PRODUCTION) is not in this clone; fetch its history"; exit 1; }
+	dir=$$(mktemp -d) && git archive $(PRODUCTION) | tar -x -C $$dir && \
+		(cd $$dir && $(GO) build -buildvcs=false -o $(PRODUCTION_BINARY) ./cmd/sequoia-edge) && rm -r $$dir
+
 fmt:
 	@test -z "$$(gofmt -l $(MODULES) | tee /dev/stderr)"
 
--- a/cmd/sequoia-soak/main.go
+++ b/cmd/sequoia-soak/main.go
@@ -37,6 +37,7 @@
 	app.Flag("repeat-window", "Length of a window, in whole seconds.").Default(o.RetryLimits.Window.Duration().String()).
 		SetValue(launcher.DurationValue{Target: &o.RetryLimits.Window})
 	app.Flag("binary", "Program of the entry.").Default("bin/sequoia-edge").StringVar(&o.Binary)
+	app.Flag("production", "Older program of the entry, which an upgrade under load replaces; empty for no upgrade.").StringVar(&o.Production)
 	outputDir := app.Flag("dir", "Directory for settings and logs; empty for one that is removed unless a promise is broken.").String()
 	launcher.Parse(app)
 	if o.Seed == 0 {
--- a/standin/soaker/entry.go
+++ b/standin/soaker/entry.go
@@ -26,16 +26,46 @@
 
 // entry is a process of the real entry program.
 type entry struct {
-	harness *Harness
-	number  int
-	store   *proxy // its connections to the platform's store
+	harness    *Harness
+	number     int
+	store      *proxy // its connections to the platform's store
+	newBuild   build
+	production build // that runs before an upgrade
 
 	mu       sync.Mutex
+	current  build // with which the process is started
 	process  *os.Process
 	exited   chan struct{} // closed when the process has exited
 	stopping bool          // it was asked to stop and must exit cleanly
 }
 
+// newEntry returns an entry that is not started, with its builds.
+func newEntry(h *Harness, number int, store *proxy) (*entry, error) {
+	e := &entry{harness: h, number: number, store: store}
+	var err error
+	if e.newBuild, err = buildAt(h.opts.Binary, e); err != nil {
+		return nil, err
+	}
+	e.production = e.newBuild
+	if h.opts.Production != "" {
+		if e.production, err = buildAt(h.opts.Production, e); err != nil {
+			return nil, err
+		}
+	}
+	e.current = e.production
+	return e, nil
+}
+
+// use sets the build with which the process is started next.
+func (e *entry) use(newBuild bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.current = e.production
+	if newBuild {
+		e.current = e.newBuild
+	}
+}
+
 // name returns the instance name.
 func (e *entry) name() string { return fmt.Sprintf("e%d", e.number) }
 
@@ -92,7 +122,10 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(e.harness.opts.Binary, "--settings", path, "--upstream-source", e.ip())
+	e.mu.Lock()
+	current := e.current
+	e.mu.Unlock()
+	cmd := exec.Command(current.path, append([]string{"--settings", path}, current.args...)...)
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		_ = out.Close()
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -41,6 +41,7 @@
 	RetryLimits   rationer.Limits // limits on retries, also written to the entries' settings
 	OmittedSignal string          // signal that upstreams omit from their responses, so that no entry respects it: OmitDraining, OmitPause, OmitRateLimit, OmitBrittleness or OmitDeadlyPart
 	Binary        string          // path of the entry's program
+	Production    string          // path of the older program that an upgrade replaces; empty for no upgrade
 	Dir           string          // directory for settings and logs
 }
 
@@ -153,7 +154,11 @@
 		if err != nil {
 			return err
 		}
-		h.entries = append(h.entries, &entry{harness: h, number: i, store: p})
+		e, err := newEntry(h, i, p)
+		if err != nil {
+			return err
+		}
+		h.entries = append(h.entries, e)
 	}
 	for _, e := range h.entries {
 		if err := e.start(); err != nil {
@@ -216,7 +221,12 @@
 			h.pollReadiness()
 		}
 	}()
+	var upgrade sync.WaitGroup
+	if h.opts.Production != "" {
+		upgrade.Go(func() { h.upgrade(h.opts.Duration) })
+	}
 	h.injectFaults(h.opts.Duration)
+	upgrade.Wait()
 	time.Sleep(settleTime)
 	cancel()
 	callers.Wait()
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -78,6 +78,26 @@
 	})
 }
 
+// Guards against ORDER: responses without framing that end with their replica must not be delivered as
+// complete.
+func TestResponsesOfReplicasThatEndAreNotComplete(t *testing.T) {
+	runSoak(t, soaker.Options{
+		Seed: 43001, Duration: 8 * time.Second, OnlyFault: "end the process of a replica under responses without framing", Binary: build(t),
+		Entries: 3, Replicas: 4, Engines: 4, Callers: 16, Rate: 200,
+		RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+	})
+}
+
+// Guards against TWICE and REFUSED: refusals that replicas repeat on kept connections must not be taken
+// for those of later calls.
+func TestRepeatedRefusalsBelongToNoCall(t *testing.T) {
+	runSoak(t, soaker.Options{
+		Seed: 43011, Duration: 8 * time.Second, OnlyFault: "repeat refusals of a replica", Binary: build(t),
+		Entries: 3, Replicas: 4, Engines: 4, Callers: 16, Rate: 200,
+		RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+	})
+}
+
 // Entries that reach no upstream must go on serving their callers.
 func TestCallersOfStrandedEntriesAreServed(t *testing.T) {
 	runSoak(t, soaker.Options{
@@ -87,6 +107,28 @@
 	})
 }
 
+// Entries of the build in production and of this one must keep all promises side by side, while one
+// after the other is replaced.
+func TestUpgradeFromProduction(t *testing.T) {
+	production := filepath.Join(t.TempDir(), "sequoia-edge-production")
+	if out, err := exec.Command("make", "-C", "../..", "production", "PRODUCTION_BINARY="+production).CombinedOutput(); err != nil {
+		t.Fatalf("build of the commit in deploy/production: %v\n%s", err, out)
+	}
+	binary := build(t)
+	for name, o := range map[string]soaker.Options{
+		"planned work":        {Seed: 45001, PlannedOnly: true},
+		"planned, taken back": {Seed: 45003, PlannedOnly: true},
+		"all faults":          {Seed: 45004},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o.Duration, o.Binary, o.Production = 8*time.Second, binary, production
+			o.Entries, o.Replicas, o.Engines, o.Callers, o.Rate = 4, 3, 3, 8, 80
+			o.RetryLimits = rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second}
+			runSoak(t, o)
+		})
+	}
+}
+
 // Upstreams omit a signal from their responses, so the entries ignore it. The checker must report
 // them.
 func TestFindsEntriesThatIgnoreUpstreamSignals(t *testing.T) {
--- /dev/null
+++ b/standin/soaker/upgrades.go
@@ -0,0 +1,97 @@
+package soaker
+
+import (
+	"fmt"
+	"os/exec"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// build is a build of the entry's program.
+type build struct {
+	path string
+	args []string // that only some builds know
+}
+
+// sourceFlag sets the address from which an entry connects to replicas. Older builds lack it: their
+// entries are unknown to the replicas' proxies, so that no partition holds them.
+const sourceFlag = "--upstream-source"
+
+// buildAt returns the build at a path for an entry, and passes it only flags that it knows.
+func buildAt(path string, e *entry) (build, error) {
+	help, err := exec.Command(path, "--help").CombinedOutput()
+	if err != nil {
+		return build{}, fmt.Errorf("flags of %s: %w", path, err)
+	}
+	b := build{path: path}
+	if strings.Contains(string(help), sourceFlag) {
+		b.args = []string{sourceFlag, e.ip()}
+	}
+	return b, nil
+}
+
+// upgradeSteps is the number of parts of a run with traffic, of which the upgrade takes all but the
+// first and the last.
+const upgradeSteps = 10
+
+// upgrade replaces the entries of the production build by those of the new one, one after the other,
+// within the given duration. Depending on the seed it is complete, or taken back halfway and
+// completed afterwards. One in five processes is killed instead of stopped unless only planned work
+// is injected.
+func (h *Harness) upgrade(duration time.Duration) {
+	time.Sleep(duration / upgradeSteps)
+	moves := h.upgradePlan()
+	interval := duration * (upgradeSteps - 2) / upgradeSteps / time.Duration(len(moves))
+	for _, m := range moves {
+		began := time.Now()
+		h.replaceBuild(m.entry, m.toNew)
+		time.Sleep(max(interval-time.Since(began), 0))
+	}
+}
+
+// buildMove is the replacement of one entry's build.
+type buildMove struct {
+	entry *entry
+	toNew bool
+}
+
+// upgradePlan returns the replacements of an upgrade in their order.
+func (h *Harness) upgradePlan() []buildMove {
+	var moves []buildMove
+	add := func(entries []*entry, toNew bool) {
+		for _, e := range entries {
+			moves = append(moves, buildMove{e, toNew})
+		}
+	}
+	if h.opts.Seed%3 == 0 {
+		half := h.entries[:(len(h.entries)+1)/2]
+		add(half, true)
+		add(half, false)
+	}
+	add(h.entries, true)
+	return moves
+}
+
+// replaceBuild stops or kills an entry and starts it again with another build, once no other fault
+// uses it.
+func (h *Harness) replaceBuild(e *entry, toNew bool) {
+	signal := syscall.SIGTERM
+	if !h.opts.PlannedOnly && h.randIntN(5) == 0 {
+		signal = syscall.SIGKILL
+	}
+	for replaced := false; !replaced; {
+		h.withExclusive("entry", e.number, func() {
+			e.use(toNew)
+			e.restart(e.signal(signal), 0)
+			replaced = true
+		})
+		if !replaced {
+			time.Sleep(exclusiveRetry)
+		}
+	}
+	h.faultLog.Info("build replaced", "entry", e.number, "new", toNew, "signal", signal.String())
+}
+
+// exclusiveRetry is the interval at which an entry that a fault uses is tried again.
+const exclusiveRetry = 50 * time.Millisecond
