--- a/cmd/sequoia-soak/main.go
+++ b/cmd/sequoia-soak/main.go
@@ -31,6 +31,7 @@
 	app.Flag("planned", "Planned work only.").BoolVar(&o.PlannedOnly)
 	app.Flag("storm", "Inject only faults that cause retries.").BoolVar(&o.Storm)
 	app.Flag("only", "Name of the only fault to inject; empty for all.").StringVar(&o.OnlyFault)
+	app.Flag("except", "Name of a fault not to inject; may be repeated.").StringsVar(&o.ExceptFaults)
 	o.RetryLimits.Window = 10 * sequoiasill.Second
 	app.Flag("repeat-ratio", "Repeats allowed for each call.").Default("0.2").Float64Var(&o.RetryLimits.Ratio)
 	app.Flag("repeat-slack", "Repeats allowed beyond that ratio in each window.").Default("58").Float64Var(&o.RetryLimits.Slack)
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -32,7 +32,7 @@
 type step struct {
 	verdict       sequoiasill.Verdict // of an attempt that fails
 	fail          bool
-	closed        bool // it fails as the upstream closes the connection
+	closed        bool               // it fails as the upstream closes the connection
 	hang          bool               // until the attempt is cancelled
 	delay         sequoiasill.Millis // before the response starts
 	ignoresCancel bool
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -38,6 +38,7 @@
 	PlannedOnly   bool            // inject only planned work, no faults
 	Storm         bool            // inject faults that cause many retries
 	OnlyFault     string          // name of the only fault to inject; empty for all
+	ExceptFaults  []string        // names of faults not to inject
 	RetryLimits   rationer.Limits // limits on retries, also written to the entries' settings
 	OmittedSignal string          // signal that upstreams omit from their responses, so that no entry respects it: OmitDraining, OmitPause, OmitRateLimit, OmitBrittleness or OmitDeadlyPart
 	Binary        string          // path of the entry's program
