Soak: killing an entry for an upgrade is no planned work

An entry was killed with SIGKILL for its upgrade at that moment, which the checker did not know as a fault.

--- a/standin/soaker/upgrades.go
+++ b/standin/soaker/upgrades.go
@@ -80,6 +80,8 @@
 	if !h.opts.PlannedOnly && h.randIntN(5) == 0 {
 		signal = syscall.SIGKILL
 	}
+	endFault := h.checker.recordFault("replace the build of an entry", signal == syscall.SIGTERM)
+	defer endFault()
 	for replaced := false; !replaced; {
 		h.withExclusive("entry", e.number, func() {
 			e.use(toNew)
