--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -64,6 +64,7 @@
 	status  int
 	body    string
 	runs    int
+	delay   sequoiasill.Millis // before the response, unless the call is cancelled
 }
 
 // fakeRelays has a number of other entries, which play their steps in turn.
@@ -82,9 +83,14 @@
 	return peerpicker.Peer{}, false
 }
 
-func (r *fakeRelays) Send(_ context.Context, _ peerpicker.Peer, c dispatcher.RelayedCall) (*dispatcher.Response, error) {
+func (r *fakeRelays) Send(ctx context.Context, _ peerpicker.Peer, c dispatcher.RelayedCall) (*dispatcher.Response, error) {
 	s := r.steps[min(len(r.calls), len(r.steps)-1)]
 	r.calls = append(r.calls, c)
+	select {
+	case <-ctx.Done():
+		return nil, sendError{v: sequoiasill.MayHaveRun}
+	case <-time.After(s.delay.Duration()):
+	}
 	switch {
 	case s.refusal != nil:
 		return nil, &dispatcher.RefusalError{Failure: s.refusal, Runs: s.runs}
@@ -188,6 +194,22 @@
 	}
 }
 
+// Guards against BUDGET: a relayed call that is slow may be at its last upstream already, and must not
+// be relayed to another entry.
+func TestSlowRelayedCallIsRelayedOnce(t *testing.T) {
+	c, u := &fakeTransport{}, &fakePeers{usageCounts: make(map[string]int)}
+	relays := &fakeRelays{entries: 2, steps: []relayStep{{status: 200, body: "good", runs: 2, delay: 400}}}
+	d := newRelayingDispatcher(t, c, u, &fakePaths{state: pathmonitor.Unreachable}, relays)
+	var got reply
+	d.Serve(context.Background(), call("/read/x", "key"), &got)
+	if diff := cmp.Diff(reply{Status: 200, Body: "good", Ended: true}, got); diff != "" {
+		t.Errorf("response (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(1, len(relays.calls)); diff != "" {
+		t.Errorf("entries that got the call (-want +got):\n%s", diff)
+	}
+}
+
 // relayReply records the runs that were told with a response.
 type relayReply struct {
 	reply
