--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -249,7 +250,12 @@
 	time.Sleep(duration)
 	r.proxy.close()
 	h.deregister(r)
-	if err := h.addReplica(r.service, address); err != nil {
+	err := h.addReplica(r.service, address)
+	if errors.Is(err, syscall.EADDRINUSE) {
+		// Another socket of the machine got the port in the meantime.
+		err = h.addReplica(r.service, "")
+	}
+	if err != nil {
 		h.checker.addViolation("replica not started: %v", err)
 	}
 }
