Share one clock between both ends in the relayer's tests

The caller's time, its encoding and its decoding used three clocks, each the wall time of its start and the monotonic time since, which may differ by a millisecond.

--- a/relay/relayer/relayer_test.go
+++ b/relay/relayer/relayer_test.go
@@ -19,6 +19,9 @@
 	"sequoiasill.dev/sequoiasill/relay/relayer"
 )
 
+// clock is shared by both ends, as clocks that are started apart may differ by a millisecond.
+var clock = sequoiasill.NewSystemClock()
+
 // fakeDispatcher serves calls with a function.
 type fakeDispatcher struct {
 	refusal *sequoiasill.Failure
@@ -49,7 +52,7 @@
 
 func newClient(t *testing.T, address string) *relayer.Client {
 	t.Helper()
-	c := relayer.NewClient(peerpicker.New(peerpicker.DefaultOptions(), "a", 1), peers{address}, sequoiasill.NewSystemClock(), hclog.NewNullLogger())
+	c := relayer.NewClient(peerpicker.New(peerpicker.DefaultOptions(), "a", 1), peers{address}, clock, hclog.NewNullLogger())
 	t.Cleanup(c.Close)
 	return c
 }
@@ -61,7 +64,7 @@
 	if !ok {
 		t.Fatal("no entry to relay to")
 	}
-	now := sequoiasill.NewSystemClock().Now()
+	now := clock.Now()
 	return c.Send(ctx, p, dispatcher.RelayedCall{Service: "model", TrafficVersion: 3, Runs: 1, Call: &sequoiasill.Call{
 		ID: "7", Method: "POST", Target: "/a/b?c=d", Host: "kiosk.example", Key: "key", Header: http.Header{"X-A": {"1", "2"}}, Body: []byte("body"),
 		ArrivedAt: now - 100, Deadline: now + 5000, LastEvent: "4",
@@ -116,7 +119,7 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			l := listen(t)
-			s := relayer.NewServer(l, &fakeDispatcher{refusal: tc.refusal, serve: tc.serve}, sequoiasill.NewSystemClock(), hclog.NewNullLogger())
+			s := relayer.NewServer(l, &fakeDispatcher{refusal: tc.refusal, serve: tc.serve}, clock, hclog.NewNullLogger())
 			t.Cleanup(s.Close)
 			r, err := send(context.Background(), t, newClient(t, l.Addr().String()))
 			if tc.failed {
@@ -153,9 +156,9 @@
 	s := relayer.NewServer(l, &fakeDispatcher{serve: func(_ context.Context, call *sequoiasill.Call, n int, reply dispatcher.RelayWriter) {
 		got, runs = call, n
 		_ = reply.SendWhole(200, nil, nil)
-	}}, sequoiasill.NewSystemClock(), hclog.NewNullLogger())
+	}}, clock, hclog.NewNullLogger())
 	t.Cleanup(s.Close)
-	before := sequoiasill.NewSystemClock().Now()
+	before := clock.Now()
 	r, err := send(context.Background(), t, newClient(t, l.Addr().String()))
 	if err != nil {
 		t.Fatal(err)
@@ -204,7 +207,7 @@
 		<-ctx.Done()
 		reply.Abort()
 		close(ended)
-	}}, sequoiasill.NewSystemClock(), hclog.NewNullLogger())
+	}}, clock, hclog.NewNullLogger())
 	t.Cleanup(s.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
@@ -226,7 +229,7 @@
 		close(started)
 		time.Sleep(200 * time.Millisecond)
 		_ = reply.SendWhole(200, nil, []byte("good"))
-	}}, sequoiasill.NewSystemClock(), hclog.NewNullLogger())
+	}}, clock, hclog.NewNullLogger())
 	go func() {
 		<-started
 		s.Shutdown(5 * sequoiasill.Second)
