--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -437,8 +437,11 @@
 	})
 }
 
+// UntilClose reports whether a response has neither a length nor chunks and ends with its connection.
+func UntilClose(r *http.Response) bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
+
 func (x *Exchange) reusable() bool {
-	if x.Response == nil || x.skipped || x.Response.Close || x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0 {
+	if x.Response == nil || x.skipped || x.Response.Close || UntilClose(x.Response) {
 		return false
 	}
 	if !x.bodyWritten {
--- a/relay/connector/late.go
+++ b/relay/connector/late.go
@@ -31,7 +31,7 @@
 // isLate reports whether a response belongs to an earlier request on the connection, and whether
 // another one may follow it.
 func (k *conn) isLate(resp *http.Response, r Request) bool {
-	if r.ID == "" || r.ResponseID == nil || resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if r.ID == "" || r.ResponseID == nil || resp.Close || UntilClose(resp) {
 		return false
 	}
 	id := r.ResponseID(resp)
--- a/relay/connector/outlived_test.go
+++ b/relay/connector/outlived_test.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// closedPort returns an address that refuses connections, and a connection through it that is open.
+// closedPort returns a listener that answers one request and keeps its connection, which it then sends.
 func closedPort(t *testing.T) (address string, accepted chan net.Conn, l net.Listener) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -16,6 +16,9 @@
 	"sequoiasill.dev/sequoiasill/standin/soaker"
 )
 
+// usualRetries are the limits on retries of most runs.
+var usualRetries = rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second}
+
 func build(t *testing.T) (binary string) {
 	t.Helper()
 	binary = filepath.Join(t.TempDir(), "sequoia-edge")
@@ -56,7 +59,7 @@
 	runSoak(t, soaker.Options{
 		Seed: 2, Duration: 12 * time.Second, OnlyFault: "limit a replica", Binary: build(t),
 		Entries: 3, Replicas: 3, Engines: 3, Callers: 16, Rate: 150,
-		RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+		RetryLimits: usualRetries,
 	})
 }
 
@@ -65,7 +68,7 @@
 	runSoak(t, soaker.Options{
 		Seed: 2, Duration: 12 * time.Second, Storm: true, OnlyFault: "make a service brittle", Binary: build(t),
 		Entries: 5, Replicas: 4, Engines: 4, Callers: 40, Rate: 240,
-		RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+		RetryLimits: usualRetries,
 	})
 }
 
@@ -74,7 +77,7 @@
 	runSoak(t, soaker.Options{
 		Seed: 4, Duration: 14 * time.Second, OnlyFault: "send prompts with a part that crashes replicas", Binary: build(t),
 		Entries: 3, Replicas: 3, Engines: 6, Callers: 12, Rate: 150,
-		RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+		RetryLimits: usualRetries,
 	})
 }
 
@@ -84,7 +87,7 @@
 	runSoak(t, soaker.Options{
 		Seed: 43001, Duration: 8 * time.Second, OnlyFault: "end the process of a replica under responses without framing", Binary: build(t),
 		Entries: 3, Replicas: 4, Engines: 4, Callers: 16, Rate: 200,
-		RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+		RetryLimits: usualRetries,
 	})
 }
 
@@ -94,7 +97,7 @@
 	runSoak(t, soaker.Options{
 		Seed: 43011, Duration: 8 * time.Second, OnlyFault: "repeat refusals of a replica", Binary: build(t),
 		Entries: 3, Replicas: 4, Engines: 4, Callers: 16, Rate: 200,
-		RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+		RetryLimits: usualRetries,
 	})
 }
 
@@ -103,7 +106,7 @@
 	runSoak(t, soaker.Options{
 		Seed: 2, Duration: 12 * time.Second, OnlyFault: "partition some entries from all replicas", Binary: build(t),
 		Entries: 5, Replicas: 3, Engines: 3, Callers: 20, Rate: 150,
-		RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+		RetryLimits: usualRetries,
 	})
 }
 
@@ -125,7 +128,7 @@
 			o.ExceptFaults = []string{"end the process of a replica under responses without framing", "repeat refusals of a replica"}
 			o.Duration, o.Binary, o.Production = 8*time.Second, binary, production
 			o.Entries, o.Replicas, o.Engines, o.Callers, o.Rate = 4, 3, 3, 8, 80
-			o.RetryLimits = rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second}
+			o.RetryLimits = usualRetries
 			runSoak(t, o)
 		})
 	}
@@ -150,7 +153,7 @@
 			violations, _, err := soaker.Run(soaker.Options{
 				Seed: 1, Duration: tc.duration, OnlyFault: tc.fault, OmittedSignal: tc.omitted, Binary: binary, Dir: t.TempDir(),
 				Entries: 2, Replicas: 3, Engines: 3, Callers: 12, Rate: 150,
-				RetryLimits: rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second},
+				RetryLimits: usualRetries,
 			})
 			if err != nil {
 				t.Fatal(err)
@@ -169,7 +172,7 @@
 		t.Run(name, func(t *testing.T) {
 			o.Binary = binary
 			o.Duration, o.Entries, o.Replicas, o.Engines, o.Callers, o.Rate = 4*time.Second, 3, 3, 3, 8, 80
-			o.RetryLimits = rationer.Limits{Ratio: 0.2, Slack: 58, Window: 10 * sequoiasill.Second}
+			o.RetryLimits = usualRetries
 			runSoak(t, o)
 		})
 	}
