Keep the crashes that an entry's earlier process reported

Callers saw more upstreams crash than a request or a part of a prompt needs to be refused: crashes found by an entry were forgotten when that entry was replaced, as in an upgrade, a rolling restart or after a kill.

Cause: collectors kept charges and crash reports by entry. The first state of the next process has no charges and deleted those of the earlier one, and its first crash report replaced the earlier report. Class: state of a process filed under a name that outlives it.

Change: both are kept by process until they expire. States name their process already; crash reports have a new field for it, which older builds ignore.

TestCrashesOutliveTheirProcess failed before in both cases (not refused after 30 s), and holds.

--- a/decide/blamer/blamer.go
+++ b/decide/blamer/blamer.go
@@ -54,10 +54,10 @@
 // Blamer holds an entry's charges and, at a collector, those of other entries. It is not
 // safe for concurrent use.
 type Blamer struct {
-	opts           Options
-	ownCharges     []Charge            // oldest first
-	chargesByEntry map[string][]Charge // of other entries
-	refusals       map[Fingerprint]refusal
+	opts             Options
+	ownCharges       []Charge            // oldest first
+	chargesByProcess map[string][]Charge // of other entries
+	refusals         map[Fingerprint]refusal
 }
 
 // refusal is the refusal of a request. The request is on probation once it has ended.
@@ -68,7 +68,7 @@
 
 // New returns a blamer without charges.
 func New(opts Options) *Blamer {
-	return &Blamer{opts: opts, chargesByEntry: make(map[string][]Charge), refusals: make(map[Fingerprint]refusal)}
+	return &Blamer{opts: opts, chargesByProcess: make(map[string][]Charge), refusals: make(map[Fingerprint]refusal)}
 }
 
 // RecordCrash charges a request with the crash of an upstream. It reports whether the request
@@ -95,18 +95,27 @@
 // reported to the collectors.
 func (b *Blamer) Charges(now sequoiasill.Millis) []Charge {
 	b.ownCharges = slices.DeleteFunc(b.ownCharges, func(c Charge) bool { return now-c.At > b.opts.ChargeLifetime })
+	b.deleteExpired(now)
 	maps.DeleteFunc(b.refusals, func(_ Fingerprint, r refusal) bool { return now-r.until > b.opts.ProbationDuration })
 	return slices.Clone(b.ownCharges)
 }
 
-// SetCharges replaces the charges of another entry. It returns the requests that must be
+// deleteExpired deletes the charges of processes whose charges have all expired. Those of a process
+// that has ended are not replaced by it any more.
+func (b *Blamer) deleteExpired(now sequoiasill.Millis) {
+	maps.DeleteFunc(b.chargesByProcess, func(_ string, charges []Charge) bool {
+		return !slices.ContainsFunc(charges, func(c Charge) bool { return now-c.At <= b.opts.ChargeLifetime })
+	})
+}
+
+// SetCharges replaces the charges of a process of another entry. It returns the requests that must be
 // refused from now on, of which the other entries should be notified.
-func (b *Blamer) SetCharges(now sequoiasill.Millis, entry string, charges []Charge) []Fingerprint {
+func (b *Blamer) SetCharges(now sequoiasill.Millis, process string, charges []Charge) []Fingerprint {
 	if len(charges) == 0 {
-		delete(b.chargesByEntry, entry)
+		delete(b.chargesByProcess, process)
 		return nil
 	}
-	b.chargesByEntry[entry] = charges
+	b.chargesByProcess[process] = charges
 	var newlyRefused []Fingerprint
 	for _, c := range charges {
 		if b.refuseAtThreshold(now, c.Fingerprint) {
@@ -124,7 +133,7 @@
 		return false
 	}
 	upstreams := make(map[uint64]bool)
-	for _, list := range append(slices.Collect(maps.Values(b.chargesByEntry)), b.ownCharges) {
+	for _, list := range append(slices.Collect(maps.Values(b.chargesByProcess)), b.ownCharges) {
 		for _, c := range list {
 			if c.Fingerprint == f && now-c.At <= b.opts.ChargeLifetime {
 				upstreams[c.Upstream] = true
--- a/decide/partblamer/collector.go
+++ b/decide/partblamer/collector.go
@@ -8,13 +8,14 @@
 	"sequoiasill.dev/sequoiasill"
 )
 
-// Merge replaces the report of another entry.
-func (b *Blamer) Merge(entry string, r Report) {
+// Merge replaces the report of a process of another entry. The last report of a process that has ended
+// counts until its crashes expire.
+func (b *Blamer) Merge(process string, r Report) {
 	if len(r.Crashes) == 0 && len(r.Served) == 0 {
-		delete(b.reports, entry)
+		delete(b.reports, process)
 		return
 	}
-	b.reports[entry] = r
+	b.reports[process] = r
 }
 
 // Decide evaluates the reports of all entries on a collector. It quarantines the parts that are
@@ -37,10 +38,10 @@
 }
 
 func (b *Blamer) deleteExpiredReports(now sequoiasill.Millis) {
-	for entry, r := range b.reports {
+	for process, r := range b.reports {
 		r.Crashes = slices.DeleteFunc(slices.Clone(r.Crashes), func(c Crash) bool { return now-c.At > b.opts.CrashLifetime })
 		maps.DeleteFunc(r.Served, func(_ Part, at sequoiasill.Millis) bool { return now-at > b.opts.CrashLifetime })
-		b.Merge(entry, r)
+		b.Merge(process, r)
 	}
 }
 
--- a/decide/partblamer/partblamer.go
+++ b/decide/partblamer/partblamer.go
@@ -137,7 +137,7 @@
 	probing      bool
 	changes      []Change
 
-	reports        map[string]Report           // of other entries
+	reports        map[string]Report           // of other entries, by process
 	suspectedSince map[Part]sequoiasill.Millis // on a collector
 	announced      []Part                      // suspects that this collector announced
 	announcedAt    sequoiasill.Millis
--- a/relay/dispatcher/quarantine.go
+++ b/relay/dispatcher/quarantine.go
@@ -105,13 +105,13 @@
 	return d.blamer.Charges(d.clock.Now())
 }
 
-// MergeCharges merges the suspected crashes that another entry reports. It returns the requests
+// MergeCharges merges the suspected crashes that a process of another entry reports. It returns the requests
 // that are quarantined as a result, with the time until which they are refused.
-func (d *Dispatcher) MergeCharges(entry string, charges []blamer.Charge) map[blamer.Fingerprint]sequoiasill.Millis {
+func (d *Dispatcher) MergeCharges(process string, charges []blamer.Charge) map[blamer.Fingerprint]sequoiasill.Millis {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	quarantined := d.blamer.SetCharges(now, entry, charges)
+	quarantined := d.blamer.SetCharges(now, process, charges)
 	if len(quarantined) == 0 {
 		return nil
 	}
--- a/relay/exchanger/crashes.go
+++ b/relay/exchanger/crashes.go
@@ -1,6 +1,7 @@
 package exchanger
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -34,7 +35,7 @@
 	// Exchange returns what the other entries must be told. rank is the position of this entry
 	// among the collectors, or negative if it is not one.
 	Exchange(rank int) screener.Outgoing
-	Merge(entry string, r partblamer.Report)
+	Merge(process string, r partblamer.Report)
 	SetSuspects(collector string, parts []partblamer.Part)
 	Quarantine(s partblamer.Signature, since, until sequoiasill.Millis)
 	Lift(s partblamer.Signature)
@@ -44,6 +45,7 @@
 type wireCrashReport struct {
 	Crashes []wireCrash      `cbor:"1,keyasint,omitempty"`
 	Served  map[uint64]int64 `cbor:"2,keyasint,omitempty"` // age in milliseconds by part
+	Process string           `cbor:"3,keyasint,omitempty"`
 }
 
 type wireCrash struct {
@@ -72,7 +74,7 @@
 	out := e.screener.Exchange(slices.Index(collectors, e.opts.Name))
 	now := e.clock.Now()
 	if out.ReportDue {
-		if b, ok := encodeFact(e, toWireReport(out.Report, now)); ok {
+		if b, ok := encodeFact(e, toWireReport(e.processID(), out.Report, now)); ok {
 			e.gossip.SendDirect(collectors, keyCrashes+e.opts.Name, uint64(now), b)
 		}
 	}
@@ -117,10 +119,10 @@
 	return b, true
 }
 
-// handleCrashes merges the crash report of another entry.
+// handleCrashes merges the crash report of another entry. Older builds do not name their process.
 func (e *Exchanger) handleCrashes(entry string, f gossiper.Fact) {
 	if r, ok := decodeFact[wireCrashReport](e, f); ok {
-		e.screener.Merge(entry, fromWireReport(r, e.clock.Now()))
+		e.screener.Merge(cmp.Or(r.Process, entry), fromWireReport(r, e.clock.Now()))
 	}
 }
 
@@ -156,8 +158,8 @@
 	return out, true
 }
 
-func toWireReport(r partblamer.Report, now sequoiasill.Millis) wireCrashReport {
-	w := wireCrashReport{Served: make(map[uint64]int64, len(r.Served))}
+func toWireReport(process string, r partblamer.Report, now sequoiasill.Millis) wireCrashReport {
+	w := wireCrashReport{Process: process, Served: make(map[uint64]int64, len(r.Served))}
 	for _, c := range r.Crashes {
 		w.Crashes = append(w.Crashes, wireCrash{Request: c.Request, Upstream: c.Upstream, AgeMillis: int64(now - c.At), Parts: fromParts(c.Parts)})
 	}
--- a/relay/exchanger/crashes_test.go
+++ b/relay/exchanger/crashes_test.go
@@ -1,9 +1,12 @@
 package exchanger_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/partblamer"
 )
 
@@ -38,3 +41,52 @@
 	late.screener.RecordServed([]partblamer.Part{sound, deadly})
 	await(t, "entries that refuse the part after it was served", 0, func() int { return refusals(entries, sound, deadly) })
 }
+
+// Guards against BUDGET: crashes that an entry told the collectors were forgotten when its next process
+// told of others.
+func TestCrashesOutliveTheirProcess(t *testing.T) {
+	request := blamer.Fingerprint(5)
+	tests := map[string]struct {
+		record  func(e *entry, upstream uint64)
+		refused func(e *entry) bool
+	}{
+		"of a part": {
+			record: func(e *entry, upstream uint64) {
+				e.screener.RecordCrash(partblamer.Crash{Request: upstream, Upstream: upstream, Parts: []partblamer.Part{deadly}})
+			},
+			refused: func(e *entry) bool { return refusals([]*entry{e}, deadly) > 0 },
+		},
+		"of a request": {
+			record: func(e *entry, upstream uint64) {
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				e.blamer.RecordCrash(sequoiasill.NewSystemClock().Now(), request, upstream)
+			},
+			refused: func(e *entry) bool {
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				_, refused := e.blamer.Refused(sequoiasill.NewSystemClock().Now(), request)
+				return refused
+			},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			entries := cluster(t, 5)
+			last := slices.IndexFunc(entries, func(e *entry) bool { return e.Rank() < 0 })
+			for upstream := range uint64(2) {
+				tc.record(entries[last], upstream)
+				time.Sleep(time.Second)
+			}
+			entries[last].Close()
+			entries[last] = startEntry(t, last, "2", map[string]string{"other": entries[(last+1)%5].address})
+			await(t, "members", 5, entries[last].Entries)
+			time.Sleep(time.Second)
+			tc.record(entries[last], 2)
+			for _, e := range entries {
+				await(t, "refused", true, func() bool { return tc.refused(e) })
+			}
+		})
+	}
+}
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -122,7 +122,7 @@
 	SetTotals(sum allotter.Sum)
 	ClearTotals()
 	Charges() []blamer.Charge
-	MergeCharges(entry string, charges []blamer.Charge) map[blamer.Fingerprint]sequoiasill.Millis
+	MergeCharges(process string, charges []blamer.Charge) map[blamer.Fingerprint]sequoiasill.Millis
 	Quarantine(f blamer.Fingerprint, until sequoiasill.Millis)
 	KnownLimit(u throttler.Upstream) registrar.KnownLimit
 	RecordLimit(u throttler.Upstream, perSecond float64, source string)
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -45,6 +45,7 @@
 	facts     map[string]string // facts about moves, by key
 	sharedBy  int               // number of entries among which limits are divided
 	label     string
+	address   string
 	screener  *screener.Screener
 	limits    map[throttler.Upstream]registrar.KnownLimit
 }
@@ -120,12 +121,12 @@
 	return e.blamer.Charges(sequoiasill.NewSystemClock().Now())
 }
 
-func (e *entry) MergeCharges(entry string, charges []blamer.Charge) map[blamer.Fingerprint]sequoiasill.Millis {
+func (e *entry) MergeCharges(process string, charges []blamer.Charge) map[blamer.Fingerprint]sequoiasill.Millis {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	out := make(map[blamer.Fingerprint]sequoiasill.Millis)
 	now := sequoiasill.NewSystemClock().Now()
-	for _, f := range e.blamer.SetCharges(now, entry, charges) {
+	for _, f := range e.blamer.SetCharges(now, process, charges) {
 		out[f], _ = e.blamer.Refused(now, f)
 	}
 	return out
@@ -178,31 +179,40 @@
 	return e.total.Spent["small"]
 }
 
+// startEntry starts a process of an entry that initially knows only the seeds.
+func startEntry(t *testing.T, number int, session string, seeds map[string]string) *entry {
+	t.Helper()
+	name := fmt.Sprintf("e%d", number)
+	clock := sequoiasill.NewSystemClock()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.ListenPacket("udp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &entry{
+		label: name, address: l.Addr().String(), replicas: make(map[string]string), demand: map[string]float64{"small": float64(10 * (number + 1))}, spent: 7,
+		blamer: blamer.New(blamer.DefaultOptions()), facts: make(map[string]string), limits: make(map[throttler.Upstream]registrar.KnownLimit),
+		screener: screener.New(partblamer.New(partblamer.DefaultOptions()), clock, meter.New(), hclog.NewNullLogger()),
+	}
+	opts := exchanger.Options{Name: name, Session: session, Zone: "a", Address: e.address, Seeds: seeds, MinEntries: 1}
+	tl := tallier.New(name+"/"+session, 5*sequoiasill.Second, 4)
+	e.Exchanger = exchanger.New(opts, conn, l, tl, exchanger.Handlers{Configs: e, Origin: e, Replicas: e, Calls: e, Moves: e, Screener: e.screener}, clock, clock, uint64(number+1), hclog.NewNullLogger())
+	t.Cleanup(e.Close)
+	return e
+}
+
 // cluster starts n entries that initially know only the address of the first.
 func cluster(t *testing.T, n int) []*entry {
 	t.Helper()
-	clock := sequoiasill.NewSystemClock()
 	var out []*entry
 	var seeds map[string]string
 	for i := range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		conn, err := net.ListenPacket("udp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		e := &entry{replicas: make(map[string]string), demand: map[string]float64{"small": float64(10 * (i + 1))}, spent: 7, blamer: blamer.New(blamer.DefaultOptions()), facts: make(map[string]string), limits: make(map[throttler.Upstream]registrar.KnownLimit)}
-		name := fmt.Sprintf("e%d", i)
-		e.label = name
-		e.screener = screener.New(partblamer.New(partblamer.DefaultOptions()), clock, meter.New(), hclog.NewNullLogger())
-		opts := exchanger.Options{Name: name, Session: "1", Zone: "a", Address: l.Addr().String(), Seeds: seeds, MinEntries: 1}
-		tl := tallier.New(name+"/1", 5*sequoiasill.Second, 4)
-		e.Exchanger = exchanger.New(opts, conn, l, tl, exchanger.Handlers{Configs: e, Origin: e, Replicas: e, Calls: e, Moves: e, Screener: e.screener}, clock, clock, uint64(i+1), hclog.NewNullLogger())
-		t.Cleanup(e.Close)
+		e := startEntry(t, i, "1", seeds)
 		if i == 0 {
-			seeds = map[string]string{"first": l.Addr().String()}
+			seeds = map[string]string{"first": e.address}
 		}
 		out = append(out, e)
 	}
--- a/relay/exchanger/facts.go
+++ b/relay/exchanger/facts.go
@@ -134,7 +134,7 @@
 		e.log.Warn("fact cannot be read", "key", f.Key, "error", err)
 		return
 	}
-	for fp, until := range e.calls.MergeCharges(entry, s.Charges) {
+	for fp, until := range e.calls.MergeCharges(s.Process, s.Charges) {
 		e.AnnounceQuarantine(fp, until)
 	}
 	e.mu.Lock()
--- a/relay/screener/screener.go
+++ b/relay/screener/screener.go
@@ -96,9 +96,9 @@
 	s.update(func(b *partblamer.Blamer, now sequoiasill.Millis) { b.SetSuspects(now, collector, parts) })
 }
 
-// Merge merges the report of another entry on a collector.
-func (s *Screener) Merge(entry string, r partblamer.Report) {
-	s.update(func(b *partblamer.Blamer, _ sequoiasill.Millis) { b.Merge(entry, r) })
+// Merge merges the report of a process of another entry on a collector.
+func (s *Screener) Merge(process string, r partblamer.Report) {
+	s.update(func(b *partblamer.Blamer, _ sequoiasill.Millis) { b.Merge(process, r) })
 }
 
 // Quarantine quarantines a signature that another entry identified.
