Settle doubts about crashes before an entry stops

Callers saw more crashes than needed before a request or a part of a prompt was refused, around planned stops: a reset under one of the last calls of an entry was charged to nobody.

Cause: a crash that ends a connection by reset counts once an upstream was reached over a new connection after it, 50 ms to 2 s later. An entry that had no call left stopped within that time and forgot it; a crash that it had charged may have waited for the minimum interval of reports.

--- a/decide/partblamer/partblamer.go
+++ b/decide/partblamer/partblamer.go
@@ -243,6 +243,12 @@
 	return r, true
 }
 
+// Flush makes a report of all crashes due at once.
+func (b *Blamer) Flush() {
+	b.lastReportAt = 0
+	b.reportIsDue = b.reportIsDue || len(b.crashes) > 0
+}
+
 func (b *Blamer) servedSuspects() map[Part]sequoiasill.Millis {
 	out := make(map[Part]sequoiasill.Millis)
 	for _, list := range b.suspects {
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -230,6 +230,7 @@
 	traffic       atomic.Pointer[sequoiasill.Traffic]
 	active        atomic.Int64
 	relayedCalls  atomic.Int64 // calls in progress that other entries relayed
+	doubts        atomic.Int64 // failures that are not attributed yet
 	bufferedBytes atomic.Int64 // bytes of responses that are held in memory
 	shutdownAt    atomic.Int64 // time at which the entry shuts down, 0 if none is set
 
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -284,6 +284,7 @@
 // failure that happens now, so that it was not due to the paths of this entry. Otherwise f is never
 // called. Further failures may keep the paths in doubt all the while.
 func (d *Dispatcher) whenReached(service, what string, f func()) {
+	d.doubts.Add(1)
 	d.checkReached(service, what, d.clock.Now(), f)
 }
 
@@ -291,13 +292,23 @@
 	switch {
 	case d.paths.ReachedSince(service, at):
 		f()
+		d.doubts.Add(-1)
 	case d.paths.State(service) == pathmonitor.Unreachable, d.clock.Now()-at >= maxDoubt:
 		d.log.Info("failure attributed to the paths of this entry", "service", service, "what", what)
+		d.doubts.Add(-1)
 	default:
 		time.AfterFunc(doubtCheckInterval, func() { d.checkReached(service, what, at, f) })
 	}
 }
 
+// AwaitDoubts waits until all failures are attributed, to upstreams or to the paths of this entry, but
+// not beyond a time.
+func (d *Dispatcher) AwaitDoubts(until sequoiasill.Millis) {
+	for d.doubts.Load() > 0 && d.clock.Now() < until {
+		time.Sleep(doubtCheckInterval)
+	}
+}
+
 // pathBreak is a connection that broke under an attempt.
 type pathBreak struct {
 	upstream string
--- a/relay/exchanger/crashes.go
+++ b/relay/exchanger/crashes.go
@@ -35,6 +35,8 @@
 	// Exchange returns what the other entries must be told. rank is the position of this entry
 	// among the collectors, or negative if it is not one.
 	Exchange(rank int) screener.Outgoing
+	// Flush makes a report of all crashes due at once.
+	Flush()
 	Merge(process string, r partblamer.Report)
 	SetSuspects(collector string, parts []partblamer.Part)
 	Quarantine(s partblamer.Signature, since, until sequoiasill.Millis)
--- a/relay/exchanger/crashes_test.go
+++ b/relay/exchanger/crashes_test.go
@@ -90,3 +90,24 @@
 		})
 	}
 }
+
+// Guards against BUDGET: a crash that an entry found right before it left was told to nobody.
+func TestLastCrashIsReported(t *testing.T) {
+	entries := cluster(t, 5)
+	last := slices.IndexFunc(entries, func(e *entry) bool { return e.Rank() < 0 })
+	crash := func(upstream uint64, part partblamer.Part) {
+		entries[last].screener.RecordCrash(partblamer.Crash{Request: upstream, Upstream: upstream, Parts: []partblamer.Part{part}})
+	}
+	crash(1, deadly)
+	time.Sleep(time.Second)
+	crash(2, deadly)
+	time.Sleep(200 * time.Millisecond)
+	// Reports have a minimum interval.
+	crash(4, sound)
+	time.Sleep(20 * time.Millisecond)
+	crash(3, deadly)
+	entries[last].Leave()
+	entries[last].Close()
+	others := slices.Delete(slices.Clone(entries), last, last+1)
+	await(t, "entries that refuse the part", 4, func() int { return refusals(others, deadly) })
+}
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -265,9 +265,11 @@
 // SetSeeds sets the addresses of other entries by name. Some may be outdated.
 func (e *Exchanger) SetSeeds(addresses map[string]string) { e.gossip.SetSeeds(addresses) }
 
-// Leave sends a last report and announces that this entry is leaving the cluster.
+// Leave sends last reports and announces that this entry is leaving the cluster.
 func (e *Exchanger) Leave() {
 	e.reportState()
+	e.screener.Flush()
+	e.exchangeCrashes()
 	e.gossip.Leave()
 }
 
--- a/relay/screener/screener.go
+++ b/relay/screener/screener.go
@@ -142,6 +142,13 @@
 	s.update(func(b *partblamer.Blamer, now sequoiasill.Millis) { b.Restore(now, stored) })
 }
 
+// Flush makes a report of all crashes due at once.
+func (s *Screener) Flush() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.blamer.Flush()
+}
+
 // Outgoing is what the other entries must be told.
 type Outgoing struct {
 	Report    partblamer.Report // to the collectors, if it is due
