Offer more load where replicas must show that they are brittle

Cause, traced: the check needs more falls than 2.3 of three replicas, so all three have to fall in one time of brittleness, and 12 callers in a closed loop offer less the slower the machine is.

--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -134,6 +134,14 @@
 	}
 }
 
+// load is the size and the load of a run.
+type load struct {
+	replicas, callers int
+	rate              float64
+}
+
+var usualLoad = load{replicas: 3, callers: 12, rate: 150}
+
 // Upstreams omit a signal from their responses, so the entries ignore it. The checker must report
 // them.
 func TestFindsEntriesThatIgnoreUpstreamSignals(t *testing.T) {
@@ -141,18 +149,19 @@
 	for name, tc := range map[string]struct {
 		omitted, fault, want string
 		duration             time.Duration
+		load                 load
 	}{
-		"leaving":      {soaker.OmitDraining, "replace a replica that tells it to its callers only", "had passed on that", 4 * time.Second},
-		"pauses":       {soaker.OmitPause, "ask for pauses", "had asked for a pause", 4 * time.Second},
-		"limits":       {soaker.OmitRateLimit, "limit a replica", "had passed on its limit", 4 * time.Second},
-		"brittleness":  {soaker.OmitBrittleness, "make a service brittle", "fell over", 10 * time.Second},
-		"deadly parts": {soaker.OmitDeadlyPart, "send prompts with a part that crashes replicas", "reached replicas more than", 14 * time.Second},
+		"leaving":      {soaker.OmitDraining, "replace a replica that tells it to its callers only", "had passed on that", 4 * time.Second, usualLoad},
+		"pauses":       {soaker.OmitPause, "ask for pauses", "had asked for a pause", 4 * time.Second, usualLoad},
+		"limits":       {soaker.OmitRateLimit, "limit a replica", "had passed on its limit", 4 * time.Second, usualLoad},
+		"brittleness":  {soaker.OmitBrittleness, "make a service brittle", "fell over", 10 * time.Second, load{replicas: 6, callers: 40, rate: 240}},
+		"deadly parts": {soaker.OmitDeadlyPart, "send prompts with a part that crashes replicas", "reached replicas more than", 14 * time.Second, usualLoad},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			violations, _, err := soaker.Run(soaker.Options{
 				Seed: 1, Duration: tc.duration, OnlyFault: tc.fault, OmittedSignal: tc.omitted, Binary: binary, Dir: t.TempDir(),
-				Entries: 2, Replicas: 3, Engines: 3, Callers: 12, Rate: 150,
+				Entries: 2, Replicas: tc.load.replicas, Engines: tc.load.replicas, Callers: tc.load.callers, Rate: tc.load.rate,
 				RetryLimits: usualRetries,
 			})
 			if err != nil {
