Soak: violations in an upgrade name the builds of their entries

Builds before this one break promises by themselves under faults that they do not know, and such a case must be told apart by a trace. So far that took the logs of each case, or leaving out the faults.

Violations that belong to a call now name the entry that the call was sent to, the one that sent it on last and the builds of their processes at that time; calls that crash replicas too late are counted by build. All are violations as before. TestViolationsNameTheBuilds, TestCountByBuild.

--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -176,6 +176,6 @@
 		want = b.String()
 	}
 	if body != want {
-		c.harness.checker.addViolation("call %s got %q as a whole answer; %q is right", id, body, want)
+		c.harness.checker.addCallViolation(id, "got %q as a whole answer; %q is right", body, want)
 	}
 }
--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -46,6 +46,8 @@
 	kind             callKind
 	entry            int    // number of the entry that the call was sent to
 	sender           int    // number of the entry that sent it to an upstream last
+	entryBuild       string // builds of these entries at that time
+	senderBuild      string
 	drainingUpstream string // upstream whose response announced draining; empty if none did
 	limitingUpstream string // upstream whose response announced a rate limit; empty if none did
 	key              string
@@ -60,6 +62,7 @@
 type checker struct {
 	mu            sync.Mutex
 	calls         map[string]*callRecord
+	builds        builds
 	retries       *retryChecker
 	signals       *signalChecker
 	limits        *limitChecker
@@ -88,7 +91,7 @@
 
 func newChecker(retryLimits rationer.Limits) *checker {
 	return &checker{
-		calls: make(map[string]*callRecord), retries: newRetryChecker(retryLimits), signals: newSignalChecker(drainTimeout), limits: newLimitChecker(), prompts: newPromptChecker(), partitions: newPartitionChecker(), recoveries: recoveries{entries: make(map[string][]sequoiasill.Millis)}, revokedAt: make(map[string]time.Time), drainingSince: make(map[string]time.Time), crashes: make(map[string]*crashRecord),
+		calls: make(map[string]*callRecord), builds: make(builds), retries: newRetryChecker(retryLimits), signals: newSignalChecker(drainTimeout), limits: newLimitChecker(), prompts: newPromptChecker(), partitions: newPartitionChecker(), recoveries: recoveries{entries: make(map[string][]sequoiasill.Millis)}, revokedAt: make(map[string]time.Time), drainingSince: make(map[string]time.Time), crashes: make(map[string]*crashRecord),
 		counts: Counts{Faults: make(map[string]int)},
 	}
 }
@@ -104,6 +107,13 @@
 	c.addViolationLocked(format, args...)
 }
 
+// addCallViolation records a guarantee that is violated for a call.
+func (c *checker) addCallViolation(id, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addViolationLocked("call %s "+format+"%s", append(append([]any{id}, args...), c.calls[id].describe())...)
+}
+
 // recordFault counts the start of a fault or of planned work. An unplanned fault is active
 // until the returned function is called.
 func (c *checker) recordFault(name string, planned bool) (end func()) {
@@ -135,7 +145,7 @@
 func (c *checker) recordSend(id string, k callKind, key string, entry int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.calls[id] = &callRecord{kind: k, key: key, entry: entry, sent: time.Now()}
+	c.calls[id] = &callRecord{kind: k, key: key, entry: entry, sender: entry, entryBuild: c.builds[entry], senderBuild: c.builds[entry], sent: time.Now()}
 	c.counts.Calls++
 	c.retries.recordSend(nowMillis(), id, k.service(), k.maxUpstreams(), sequoiasill.MillisOf(callerTimeout))
 }
@@ -163,7 +173,7 @@
 	if ln.entry < 0 {
 		ln.entry = r.entry
 	}
-	r.sender = ln.entry
+	r.sender, r.senderBuild = ln.entry, c.builds[ln.entry]
 	c.signals.recordArrival(nowMillis(), sequoiasill.Millis(r.sent.UnixMilli()), ln)
 	c.limits.recordArrival(nowMillis(), sequoiasill.Millis(r.sent.UnixMilli()), ln)
 	r.drainingUpstream, r.limitingUpstream = "", ""
@@ -203,6 +213,16 @@
 	c.signals.recordPause(at, ln, duration)
 }
 
+// recordStart records that an entry is started with a build.
+func (c *checker) recordStart(e *entry, build string) {
+	c.mu.Lock()
+	if build != "" {
+		c.builds[e.number] = build
+	}
+	c.mu.Unlock()
+	c.recordDisruption(e)
+}
+
 // recordDisruption records that an entry is started, stopped, paused or resumed, or that its
 // connection to the store is restored.
 func (c *checker) recordDisruption(e *entry) {
@@ -242,19 +262,19 @@
 	r.executions++
 	c.retries.recordExecution(id, upstream)
 	if r.executions > 1 && (r.kind == runOnce || r.kind == onceStream) {
-		c.addViolationLocked("call %s ran %d times", id, r.executions)
+		c.addViolationLocked("call %s ran %d times%s", id, r.executions, r.describe())
 	}
 	if r.status == http.StatusTooManyRequests || r.status == http.StatusServiceUnavailable {
-		c.addViolationLocked("call %s runs at %s after it was refused with %d", id, upstream, r.status)
+		c.addViolationLocked("call %s runs at %s after it was refused with %d%s", id, upstream, r.status, r.describe())
 	}
 	if organisation != "small" {
 		c.addViolationLocked("call %s runs for organisation %q", id, organisation)
 	}
 	if at, ok := c.revokedAt[r.key]; ok && r.sent.After(at.Add(maxRevocationDelay)) {
-		c.addViolationLocked("call %s runs with a key that was dropped %s before it was sent", id, r.sent.Sub(at))
+		c.addViolationLocked("call %s runs with a key that was dropped %s before it was sent%s", id, r.sent.Sub(at), r.describe())
 	}
 	if at, ok := c.drainingSince[upstream]; ok && time.Since(at) > maxDrainDelay {
-		c.addViolationLocked("call %s runs at %s, which drains since %s", id, upstream, time.Since(at))
+		c.addViolationLocked("call %s runs at %s, which drains since %s%s", id, upstream, time.Since(at), r.describe())
 	}
 }
 
@@ -281,56 +301,18 @@
 	case http.StatusOK:
 		c.counts.Succeeded++
 		if r.executions == 0 {
-			c.addViolationLocked("call %s got a success that no upstream gave", id)
+			c.addViolationLocked("call %s got a success that no upstream gave%s", id, r.describe())
 		}
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		c.counts.Refused++
 		if r.executions > 0 && (r.kind == runOnce || r.kind == onceStream) {
-			c.addViolationLocked("call %s was refused with %d and has run", id, status)
+			c.addViolationLocked("call %s was refused with %d and has run%s", id, status, r.describe())
 		}
 	default:
 		c.counts.Failed++
 	}
 }
 
-const (
-	// quarantineDelay is the time after the third crash within which all entries must
-	// quarantine the request. maxLateCrashes is the number of upstreams that it may still
-	// crash afterwards.
-	quarantineDelay = 3 * time.Second
-	maxLateCrashes  = 3
-	killAllFault    = "kill all entries"
-)
-
-// crashRecord counts the crashes caused by one request.
-type crashRecord struct {
-	count   int
-	thirdAt time.Time
-	late    int // more than quarantineDelay after the third crash
-}
-
-// recordCrash records that a request crashes an upstream. When all entries are killed they lose
-// the quarantine, so each such fault allows for further crashes.
-func (c *checker) recordCrash(body string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	crash := c.crashes[body]
-	if crash == nil {
-		crash = &crashRecord{}
-		c.crashes[body] = crash
-	}
-	crash.count++
-	if crash.count == 3 {
-		crash.thirdAt = time.Now()
-	}
-	if crash.count > 3 && time.Since(crash.thirdAt) > quarantineDelay {
-		crash.late++
-	}
-	if maxLate := maxLateCrashes * (1 + c.counts.Faults[killAllFault]); crash.late > maxLate {
-		c.addViolationLocked("%s reached an upstream %d times later than %s after its third crash", body, crash.late, quarantineDelay)
-	}
-}
-
 // recordPartCrash records that a part of a prompt crashes an upstream.
 func (c *checker) recordPartCrash(part string) {
 	c.mu.Lock()
@@ -343,7 +325,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r, ok := c.calls[id]; ok {
-		c.prompts.recordArrival(nowMillis(), part, r.entry)
+		c.prompts.recordArrival(nowMillis(), part, r.entry, r.senderBuild)
 	}
 }
 
@@ -393,7 +375,7 @@
 	for id, r := range c.calls {
 		c.partitions.calls = append(c.partitions.calls, partitionCall{sent: sequoiasill.Millis(r.sent.UnixMilli()), entry: r.entry, served: r.status == http.StatusOK && r.err == nil})
 		if r.err != nil && r.undisturbed && r.executions > 0 {
-			c.addViolationLocked("call %s ran and ended without an answer under planned work only: %v", id, r.err)
+			c.addViolationLocked("call %s ran and ended without an answer under planned work only: %v%s", id, r.err, r.describe())
 		}
 	}
 	stranded := c.partitions.results()
--- a/standin/soaker/entry.go
+++ b/standin/soaker/entry.go
@@ -43,14 +43,18 @@
 func newEntry(h *Harness, number int, store *proxy) (*entry, error) {
 	e := &entry{harness: h, number: number, store: store}
 	var err error
-	if e.newBuild, err = buildAt(h.opts.Binary, e); err != nil {
-		return nil, err
-	}
-	e.production = e.newBuild
-	if h.opts.Production != "" {
-		if e.production, err = buildAt(h.opts.Production, e); err != nil {
+	if h.opts.Production == "" {
+		if e.newBuild, err = buildAt("", h.opts.Binary, e); err != nil {
 			return nil, err
 		}
+		e.production, e.current = e.newBuild, e.newBuild
+		return e, nil
+	}
+	if e.newBuild, err = buildAt(newBuild, h.opts.Binary, e); err != nil {
+		return nil, err
+	}
+	if e.production, err = buildAt(productionBuild, h.opts.Production, e); err != nil {
+		return nil, err
 	}
 	e.current = e.production
 	return e, nil
@@ -135,7 +139,7 @@
 	e.mu.Lock()
 	e.process, e.exited, e.stopping = cmd.Process, exited, false
 	e.mu.Unlock()
-	e.harness.checker.recordDisruption(e)
+	e.harness.checker.recordStart(e, current.name)
 	go func() {
 		err := cmd.Wait()
 		_ = out.Close()
--- a/standin/soaker/prompts.go
+++ b/standin/soaker/prompts.go
@@ -110,6 +110,7 @@
 	crashes      int
 	noticeableAt sequoiasill.Millis // time of the crash number noticeableCrashes, 0 before it
 	late         int
+	lateBy       countByBuild
 	sound        tally // sound calls while calls with the part come
 }
 
@@ -132,7 +133,7 @@
 func (p *promptChecker) part(id string) *deadlyPartRecord {
 	r := p.parts[id]
 	if r == nil {
-		r = &deadlyPartRecord{}
+		r = &deadlyPartRecord{lateBy: make(countByBuild)}
 		p.parts[id] = r
 	}
 	return r
@@ -152,17 +153,18 @@
 	p.lastDisruption[entry] = at
 }
 
-// recordArrival records that a call with a part arrives at a replica.
-func (p *promptChecker) recordArrival(at sequoiasill.Millis, part string, entry int) {
+// recordArrival records that a call with a part arrives at a replica, from an entry with a build.
+func (p *promptChecker) recordArrival(at sequoiasill.Millis, part string, entry int, build string) {
 	r := p.part(part)
 	disrupted, known := p.lastDisruption[entry]
 	if r.noticeableAt == 0 || at < r.noticeableAt+quarantineNotice || known && at < disrupted+quarantineNotice {
 		return
 	}
 	r.late++
+	r.lateBy[build]++
 	if r.late == maxLateArrivals+1 {
-		p.violations = append(p.violations, fmt.Sprintf("calls with part %s, which had crashed %d replicas, reached replicas more than %d times later than %s after the crash number %d",
-			part, r.crashes, maxLateArrivals, quarantineNotice, noticeableCrashes))
+		p.violations = append(p.violations, fmt.Sprintf("calls with part %s, which had crashed %d replicas, reached replicas more than %d times later than %s after the crash number %d%s",
+			part, r.crashes, maxLateArrivals, quarantineNotice, noticeableCrashes, r.lateBy))
 	}
 }
 
--- a/standin/soaker/prompts_test.go
+++ b/standin/soaker/prompts_test.go
@@ -17,7 +17,7 @@
 	}
 	arrive := func(p *promptChecker, at sequoiasill.Millis, n int) {
 		for range n {
-			p.recordArrival(at, part, 1)
+			p.recordArrival(at, part, 1, "")
 		}
 	}
 	sound := func(p *promptChecker, at sequoiasill.Millis, part string, served, lost int) {
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -171,7 +171,7 @@
 		r.checker.addViolation("request that crashes replicas not read: %v", err)
 		return
 	}
-	r.checker.recordCrash(string(body))
+	r.checker.recordCrash(req.Header.Get("Request-Id"), string(body))
 	go r.onCrash(r)
 	panic(http.ErrAbortHandler)
 }
--- a/standin/soaker/upgrades.go
+++ b/standin/soaker/upgrades.go
@@ -8,8 +8,15 @@
 	"time"
 )
 
+// Names of the builds in an upgrade.
+const (
+	productionBuild = "production"
+	newBuild        = "new"
+)
+
 // build is a build of the entry's program.
 type build struct {
+	name string // empty without an upgrade
 	path string
 	args []string // that only some builds know
 }
@@ -18,19 +25,45 @@
 // entries are unknown to the replicas' proxies, so that no partition holds them.
 const sourceFlag = "--upstream-source"
 
-// buildAt returns the build at a path for an entry, and passes it only flags that it knows.
-func buildAt(path string, e *entry) (build, error) {
+// buildAt returns the build with a name at a path for an entry, and passes it only flags that it knows.
+func buildAt(name, path string, e *entry) (build, error) {
 	help, err := exec.Command(path, "--help").CombinedOutput()
 	if err != nil {
 		return build{}, fmt.Errorf("flags of %s: %w", path, err)
 	}
-	b := build{path: path}
+	b := build{name: name, path: path}
 	if strings.Contains(string(help), sourceFlag) {
 		b.args = []string{sourceFlag, e.ip()}
 	}
 	return b, nil
 }
 
+// builds holds the build of each entry's process by the entry's number, and is empty without an upgrade.
+type builds map[int]string
+
+// describe returns the builds of the entries that a call was sent to and sent on by, empty without an
+// upgrade.
+func (r *callRecord) describe() string {
+	if r.entryBuild == "" {
+		return ""
+	}
+	if r.sender == r.entry && r.senderBuild == r.entryBuild {
+		return fmt.Sprintf(" (e%d, %s build)", r.entry, r.entryBuild)
+	}
+	return fmt.Sprintf(" (e%d, %s build; sent on last by e%d, %s build)", r.entry, r.entryBuild, r.sender, r.senderBuild)
+}
+
+// countByBuild counts events by the build of the entry that caused them.
+type countByBuild map[string]int
+
+// String returns the counts of an upgrade, or nothing without one.
+func (c countByBuild) String() string {
+	if c[productionBuild]+c[newBuild] == 0 {
+		return ""
+	}
+	return fmt.Sprintf(" (%d by the production build, %d by the new one)", c[productionBuild], c[newBuild])
+}
+
 // upgradeSteps is the number of parts of a run with traffic, of which the upgrade takes all but the
 // first and the last.
 const upgradeSteps = 10
--- /dev/null
+++ b/standin/soaker/upgrades_test.go
@@ -0,0 +1,56 @@
+package soaker
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sequoiasill.dev/sequoiasill/decide/rationer"
+)
+
+// A violation names the builds of the entries that had the call, as they were at that time.
+func TestViolationsNameTheBuilds(t *testing.T) {
+	tests := map[string]struct {
+		builds builds
+		sender int // entry that sends the call on
+		want   []string
+	}{
+		"no upgrade": {nil, 1, []string{"call c ran 2 times"}},
+		"one entry":  {builds{1: productionBuild, 2: newBuild}, 1, []string{"call c ran 2 times (e1, production build)"}},
+		"a relayed call": {
+			builds{1: newBuild, 2: productionBuild}, 2,
+			[]string{"call c ran 2 times (e1, new build; sent on last by e2, production build)"},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newChecker(rationer.Limits{})
+			c.builds = tc.builds
+			c.recordSend("c", runOnce, "key", 1)
+			c.recordDelivery("c", link{tc.sender, "i-1"}, false, false)
+			c.builds = builds{1: newBuild, 2: newBuild}
+			c.recordExecution("c", "i-1", "small")
+			c.recordExecution("c", "i-2", "small")
+			if diff := cmp.Diff(tc.want, c.violations); diff != "" {
+				t.Errorf("violations (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestCountByBuild(t *testing.T) {
+	tests := map[string]struct {
+		counts countByBuild
+		want   string
+	}{
+		"no upgrade": {countByBuild{"": 4}, ""},
+		"both":       {countByBuild{productionBuild: 3, newBuild: 1}, " (3 by the production build, 1 by the new one)"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(tc.want, tc.counts.String()); diff != "" {
+				t.Errorf("text (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
