--- a/relay/exchanger/compatibility_test.go
+++ b/relay/exchanger/compatibility_test.go
@@ -30,7 +30,7 @@
 		"census":   wireCensus{Upstream: "i-1", StartedAt: 1, PerSecond: 1.5},
 		"usage":    wireUsage{Window: 3, Calls: map[string]int{"small": 4}},
 		"crashes": wireCrashReport{
-			Crashes: []wireCrash{{Request: 1 << 63, Upstream: 2, AgeMillis: 3, Parts: []uint64{4, 5}}}, Served: map[uint64]int64{4: 6},
+			Crashes: []wireCrash{{Request: 1 << 63, Upstream: 2, AgeMillis: 3, Parts: []uint64{4, 5}}}, Served: map[uint64]int64{4: 6}, Process: "e1/7",
 		},
 		"quarantine": wireQuarantine{Parts: []uint64{4, 5}, Lifted: true, AgeMillis: 6, RemainingMillis: 7},
 	}
