Soak: a copy from before a hand-over, and entries that ignore the era are found

New fault: the holder of the usage reports is killed and, once another entry has reported, the store comes back from a copy from right before the kill. The store of the stand-in can also omit its era, so that no entry can respect it.

--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -82,6 +82,7 @@
 		})
 	}},
 	{restoreStoreFault, false, (*Harness).restoreStore},
+	{forgetHandOverFault, false, (*Harness).forgetHandOver},
 	{partitionFault, false, (*Harness).partitionEntries},
 	{brittleFault, false, (*Harness).makeBrittle},
 	{"cut an entry from the store", false, func(h *Harness, duration time.Duration) {
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -40,7 +40,7 @@
 	OnlyFault     string          // name of the only fault to inject; empty for all
 	ExceptFaults  []string        // names of faults not to inject
 	RetryLimits   rationer.Limits // limits on retries, also written to the entries' settings
-	OmittedSignal string          // signal that upstreams omit from their responses, so that no entry respects it: OmitDraining, OmitPause, OmitRateLimit, OmitBrittleness or OmitDeadlyPart
+	OmittedSignal string          // signal that upstreams or the store omit from their responses, so that no entry respects it: OmitDraining, OmitPause, OmitRateLimit, OmitBrittleness, OmitEra or OmitDeadlyPart
 	Binary        string          // path of the entry's program
 	Production    string          // path of the older program that an upgrade replaces; empty for no upgrade
 	Dir           string          // directory for settings and logs
@@ -49,13 +49,14 @@
 // fenced reports whether the platform rejects calls that carry a stale lease epoch.
 func (o Options) fenced() bool { return o.Seed%2 == 0 }
 
-// Signals that upstreams can be made to omit. The checker must then report the entries
+// Signals that upstreams or the store can be made to omit. The checker must then report the entries
 // as ignoring them.
 const (
 	OmitDraining    = "leaving"
 	OmitPause       = "pause"
 	OmitRateLimit   = "limit"
 	OmitBrittleness = "brittle"
+	OmitEra         = "era" // of the store, from its responses
 	// OmitDeadlyPart hides the parts that crash upstreams among those of which no two are alike.
 	OmitDeadlyPart = "part"
 )
@@ -115,6 +116,9 @@
 	h.store = store.New(l, o.Seed, hclog.NewNullLogger())
 	h.store.SetFenced(o.fenced())
 	h.store.SetEra(1)
+	if o.OmittedSignal == OmitEra {
+		h.store.OmitEra()
+	}
 	defer h.store.Close()
 	h.writeConfig()
 	for service, n := range map[string]int{plainService: o.Replicas, streamService: o.Engines} {
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,6 +176,33 @@
 	}
 }
 
+// The store does not tell its era, so the entries take a copy from before a hand-over for the newest state.
+// The checker must report that two of them use an epoch. In some runs the same entry acts under it again.
+func TestFindsEntriesThatIgnoreTheEra(t *testing.T) {
+	binary := build(t)
+	var found atomic.Int64
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				violations, _, err := soaker.Run(soaker.Options{
+					Seed: seed + 1, Duration: 40 * time.Second, OnlyFault: "the store comes back from a copy from before a hand-over", OmittedSignal: soaker.OmitEra,
+					Binary: binary, Dir: t.TempDir(), Entries: 6, Replicas: 2, Engines: 2, Callers: 6, Rate: 60, RetryLimits: usualRetries,
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				if slices.ContainsFunc(violations, func(v string) bool { return strings.Contains(v, "was used by") }) {
+					found.Add(1)
+				}
+			})
+		}
+	})
+	if found.Load() == 0 {
+		t.Error("violation not reported")
+	}
+}
+
 // TestShortSoak briefly runs the seeds that failed before, and one more.
 func TestShortSoak(t *testing.T) {
 	binary := build(t)
--- a/standin/store/copies.go
+++ b/standin/store/copies.go
@@ -101,7 +101,7 @@
 // setEraHeader updates the header of responses. The caller holds the lock.
 func (s *Store) setEraHeader() {
 	value := s.faults.Era
-	if value == "" && s.era > 0 {
+	if value == "" && s.era > 0 && !s.eraOmitted {
 		value = strconv.FormatUint(s.era, 10)
 	}
 	s.eraHeader.Store(value)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -93,6 +93,7 @@
 	copies         []snapshot        // oldest first
 	eraHeader      atomic.Value
 	era            uint64 // header Store-Era of responses, 0 for none
+	eraOmitted     bool
 	usage          []Usage
 	scaling        []Scaling
 	calls          int
@@ -142,6 +143,14 @@
 	s.setEraHeader()
 }
 
+// OmitEra omits the era from responses, as of a store that does not tell it.
+func (s *Store) OmitEra() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.eraOmitted = true
+	s.setEraHeader()
+}
+
 // SetFenced sets whether calls with an old epoch are refused. By default they are.
 func (s *Store) SetFenced(fenced bool) {
 	s.mu.Lock()
