Do not renew the announcement of a limit that has ended

An upstream that had announced a limit and then no longer did was taken as limited by all entries until the next response from it: they kept asking its keeper.

Cause: the periodic renewal read the kept limits, released the lock and published them one after the other. A limit that ended in between was published again, with a newer version than its end.

Change: the state of a kept limit is read and published under one lock, for renewals, new limits and ends.

--- a/relay/exchanger/keeper.go
+++ b/relay/exchanger/keeper.go
@@ -26,7 +26,7 @@
 	l.mu.Unlock()
 	if newlyKept {
 		e.log.Info("keeping the limit of an upstream", "upstream", u.Name, "perSecond", a.PerSecond, "told", entry)
-		e.publishLimit(u, wireLimit{StartedAt: a.StartedAt, Limited: true, PerSecond: a.PerSecond})
+		e.publishKept(u)
 	}
 	return d
 }
@@ -78,7 +78,34 @@
 	l.mu.Unlock()
 	if lifted {
 		e.log.Info("limit of an upstream is over", "upstream", u.Name)
-		e.publishLimit(u, wireLimit{StartedAt: w.StartedAt})
+		e.publishLifted(u)
+	}
+}
+
+// publishKept publishes a limit that this entry keeps and returns its rate, unless it was lifted.
+func (e *Exchanger) publishKept(u throttler.Upstream) (rate float64, kept bool) {
+	l := e.limits
+	l.publishMu.Lock()
+	defer l.publishMu.Unlock()
+	l.mu.Lock()
+	rate, kept = l.throttler.Rate(u)
+	l.mu.Unlock()
+	if kept {
+		e.publishLimit(u, wireLimit{StartedAt: int64(u.StartedAt), Limited: true, PerSecond: rate})
+	}
+	return rate, kept
+}
+
+// publishLifted publishes the end of a limit that this entry kept, unless it was announced again.
+func (e *Exchanger) publishLifted(u throttler.Upstream) {
+	l := e.limits
+	l.publishMu.Lock()
+	defer l.publishMu.Unlock()
+	l.mu.Lock()
+	_, kept := l.throttler.Rate(u)
+	l.mu.Unlock()
+	if !kept {
+		e.publishLimit(u, wireLimit{StartedAt: int64(u.StartedAt)})
 		e.calls.RecordLimitLifted(u, "keeper")
 	}
 }
@@ -87,12 +114,22 @@
 // clock, drops limits that have another keeper now, requests missing reports, repeats
 // unconfirmed ones, and renews the facts about limits kept here.
 func (e *Exchanger) checkLimits() {
+	missing, unconfirmed := e.updateLimits()
+	e.renewLimits(missing)
+	for _, u := range unconfirmed {
+		e.sendReport(u)
+	}
+}
+
+// updateLimits returns the limits kept here, with the entries whose reports are missing, and the
+// upstreams for which reports of this entry are unconfirmed.
+func (e *Exchanger) updateLimits() (missing map[throttler.Upstream][]string, unconfirmed []throttler.Upstream) {
 	live, remaining := e.liveEntries()
 	now := e.bootClock.Now()
-	missing := make(map[throttler.Upstream][]string)
-	rates := make(map[throttler.Upstream]float64)
+	missing = make(map[throttler.Upstream][]string)
 	l := e.limits
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.candidates = remaining
 	l.throttler.SetMembers(live, e.gossip.PossiblyAlive())
 	l.throttler.Tick(now)
@@ -101,10 +138,8 @@
 			l.throttler.Drop(u)
 			continue
 		}
-		rates[u], _ = l.throttler.Rate(u)
 		missing[u] = l.throttler.Missing(now, u)
 	}
-	var unconfirmed []throttler.Upstream
 	for u := range l.pendingReports {
 		unconfirmed = append(unconfirmed, u)
 	}
@@ -113,10 +148,17 @@
 			delete(l.usedPermits, id)
 		}
 	}
-	l.mu.Unlock()
-	for u, rate := range rates {
-		e.publishLimit(u, wireLimit{StartedAt: int64(u.StartedAt), Limited: true, PerSecond: rate})
-		for _, entry := range missing[u] {
+	return missing, unconfirmed
+}
+
+// renewLimits renews the facts about limits kept here, and requests missing reports.
+func (e *Exchanger) renewLimits(missing map[throttler.Upstream][]string) {
+	for u, entries := range missing {
+		rate, kept := e.publishKept(u)
+		if !kept {
+			continue
+		}
+		for _, entry := range entries {
 			if entry == e.opts.Name {
 				e.calls.RecordLimit(u, rate, "keeper")
 				e.startReport(u, rate)
@@ -125,9 +167,6 @@
 			e.sendTo(entry, keyCensus, wireCensus{Upstream: u.Name, StartedAt: int64(u.StartedAt), PerSecond: rate})
 		}
 	}
-	for _, u := range unconfirmed {
-		e.sendReport(u)
-	}
 }
 
 // liveEntries returns the names of all live entries, and of those that are not leaving.
--- a/relay/exchanger/limits.go
+++ b/relay/exchanger/limits.go
@@ -48,6 +48,10 @@
 	usedPermits    map[uint64]sequoiasill.Millis // by ask ID: when its decision was received
 	silentUntil    map[string]sequoiasill.Millis // by unresponsive keeper: when it may be asked again
 	pendingReports map[throttler.Upstream]*pendingReport
+
+	// publishMu is held while the state of a kept limit is read and published, so that a renewal does
+	// not undo its end. It is locked before mu.
+	publishMu sync.Mutex
 }
 
 // pendingReport is a report that the keeper of a limit has not confirmed.
--- a/relay/exchanger/limits_test.go
+++ b/relay/exchanger/limits_test.go
@@ -84,3 +84,21 @@
 		})
 	}
 }
+
+// Guards against limits that all entries keep to after their end: a renewal of the fact under way published
+// it again.
+func TestRenewalDoesNotRestoreALimit(t *testing.T) {
+	e := startEntry(t, 0, "1", nil)
+	u := throttler.Upstream{Name: "i-0", StartedAt: 7}
+	time.Sleep(5 * time.Second) // a process grants nothing right after its start
+	e.AnnounceLimit(u, 5)
+	await(t, "known limits", 1, func() int { return countKnowing([]*entry{e}, u) })
+	renew := e.CheckLimits()
+	requestPermits([]*entry{e}, u, time.Second, registrar.Limit{FromUpstream: true})
+	await(t, "known limits after the end", 0, func() int { return countKnowing([]*entry{e}, u) })
+	renew()
+	time.Sleep(time.Second)
+	if n := countKnowing([]*entry{e}, u); n > 0 {
+		t.Error("the limit is known again")
+	}
+}
