Age of an announced limit in the exchanger's tests

An ask that was sent before the end of the limit then announced it anew to the keeper; the registrar tells the true age, and the keeper ignores announcements from before the end. The fake tells the age now.

Bound and checks are as they were.

--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -48,6 +48,7 @@
 	address   string
 	screener  *screener.Screener
 	limits    map[throttler.Upstream]registrar.KnownLimit
+	toldAt    map[throttler.Upstream]sequoiasill.Millis // when a response announced the limit here
 }
 
 func (e *entry) Current() ([]byte, uint64) {
@@ -141,7 +142,11 @@
 func (e *entry) KnownLimit(u throttler.Upstream) registrar.KnownLimit {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.limits[u]
+	k := e.limits[u]
+	if k.Direct {
+		k.Age = sequoiasill.NewSystemClock().Now() - e.toldAt[u]
+	}
+	return k
 }
 
 func (e *entry) RecordLimit(u throttler.Upstream, perSecond float64, _ string) {
@@ -194,7 +199,7 @@
 	}
 	e := &entry{
 		label: name, address: l.Addr().String(), replicas: make(map[string]string), demand: map[string]float64{"small": float64(10 * (number + 1))}, spent: 7,
-		blamer: blamer.New(blamer.DefaultOptions()), facts: make(map[string]string), limits: make(map[throttler.Upstream]registrar.KnownLimit),
+		blamer: blamer.New(blamer.DefaultOptions()), facts: make(map[string]string), limits: make(map[throttler.Upstream]registrar.KnownLimit), toldAt: make(map[throttler.Upstream]sequoiasill.Millis),
 		screener: screener.New(partblamer.New(partblamer.DefaultOptions()), clock, meter.New(), hclog.NewNullLogger()),
 	}
 	opts := exchanger.Options{Name: name, Session: session, Zone: "a", Address: e.address, Seeds: seeds, MinEntries: 1}
--- a/relay/exchanger/limits_test.go
+++ b/relay/exchanger/limits_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/decide/throttler"
 )
@@ -55,6 +56,7 @@
 func (e *entry) reportLimit(u throttler.Upstream, perSecond float64) {
 	e.mu.Lock()
 	e.limits[u] = registrar.KnownLimit{Active: true, Direct: true, PerSecond: perSecond}
+	e.toldAt[u] = sequoiasill.NewSystemClock().Now()
 	e.mu.Unlock()
 	e.AnnounceLimit(u, perSecond)
 }
