Charge crashes while no entry reaches a service

Cause: an entry that reaches no upstream took its own paths for the reason, though the other entries reached none either, which they announce.

Change: a doubt about a failure is settled against the upstream if all other entries announce that they reach none, and stays open for up to 2 s before it is put down to the paths. A moment without any path still charges nobody if another entry had one, as does an entry that is alone.

TestBrokenPathsChargeNobody: the case 'no upstream is found by any entry' failed before (0 charges, want 1); 'no upstream is found for a moment' guards the other direction. Its check waits until all doubts are settled now, instead of 200 ms. TestNoneReachesAService.

--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -230,10 +230,13 @@
 	traffic       atomic.Pointer[sequoiasill.Traffic]
 	active        atomic.Int64
 	relayedCalls  atomic.Int64 // calls in progress that other entries relayed
-	doubts        atomic.Int64 // failures that are not attributed yet
+	doubtCount    atomic.Int64 // failures that are not attributed yet
 	bufferedBytes atomic.Int64 // bytes of responses that are held in memory
 	shutdownAt    atomic.Int64 // time at which the entry shuts down, 0 if none is set
 
+	doubtMu sync.Mutex
+	doubts  map[string][]doubt // failures that are not attributed yet, by service
+
 	mu          sync.Mutex // guards the fields below
 	registrar   *registrar.Registrar
 	assigner    *assigner.Assigner
@@ -251,7 +254,7 @@
 func New(opts Options, transport Transport, peers Peers, moves Moves, screener Screener, paths Paths, relays Relays, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
 	return &Dispatcher{
 		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, paths: paths, relays: relays, meter: meter, clock: clock, log: log.Named("dispatcher"),
-		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad), tries: make(map[*try]bool), breaks: make(map[string][]pathBreak),
+		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad), tries: make(map[*try]bool), doubts: make(map[string][]doubt), breaks: make(map[string][]pathBreak),
 	}
 }
 
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"time"
 
 	"github.com/juju/errors"
 
@@ -25,6 +24,9 @@
 	// Send lets an entry serve a call. Its errors carry a verdict, see Verdict; a RefusalError is the
 	// entry's own.
 	Send(ctx context.Context, p peerpicker.Peer, c RelayedCall) (*Response, error)
+	// NoneReaches reports whether all other entries, and at least one, announce that they reach no upstream
+	// of a service.
+	NoneReaches(service string) bool
 }
 
 // RelayedCall is a call that one entry lets another one serve.
@@ -273,42 +275,6 @@
 	d.WithRegistrar(func(r *registrar.Registrar) { r.ForgetUnreachable(service) })
 }
 
-const (
-	// doubtCheckInterval is the interval of checks whether a doubt about paths was settled, and
-	// maxDoubt the time after which a failure in doubt is attributed to the paths.
-	doubtCheckInterval = 50 * time.Millisecond
-	maxDoubt           = 2 * sequoiasill.Second
-)
-
-// whenReached calls f once an upstream of the service was reached over a new connection after a
-// failure that happens now, so that it was not due to the paths of this entry. Otherwise f is never
-// called. Further failures may keep the paths in doubt all the while.
-func (d *Dispatcher) whenReached(service, what string, f func()) {
-	d.doubts.Add(1)
-	d.checkReached(service, what, d.clock.Now(), f)
-}
-
-func (d *Dispatcher) checkReached(service, what string, at sequoiasill.Millis, f func()) {
-	switch {
-	case d.paths.ReachedSince(service, at):
-		f()
-		d.doubts.Add(-1)
-	case d.paths.State(service) == pathmonitor.Unreachable, d.clock.Now()-at >= maxDoubt:
-		d.log.Info("failure attributed to the paths of this entry", "service", service, "what", what)
-		d.doubts.Add(-1)
-	default:
-		time.AfterFunc(doubtCheckInterval, func() { d.checkReached(service, what, at, f) })
-	}
-}
-
-// AwaitDoubts waits until all failures are attributed, to upstreams or to the paths of this entry, but
-// not beyond a time.
-func (d *Dispatcher) AwaitDoubts(until sequoiasill.Millis) {
-	for d.doubts.Load() > 0 && d.clock.Now() < until {
-		time.Sleep(doubtCheckInterval)
-	}
-}
-
 // pathBreak is a connection that broke under an attempt.
 type pathBreak struct {
 	upstream string
@@ -331,7 +297,7 @@
 	t.d.mu.Lock()
 	defer t.d.mu.Unlock()
 	now := t.d.clock.Now()
-	kept := slices.DeleteFunc(t.d.breaks[t.service], func(b pathBreak) bool { return now-b.at > maxDoubt })
+	kept := slices.DeleteFunc(t.d.breaks[t.service], func(b pathBreak) bool { return now-b.at > 2*maxDoubt })
 	t.d.breaks[t.service] = append(kept, pathBreak{t.choice.Replica.Name, t.fingerprint, now})
 }
 
--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -39,6 +39,13 @@
 	return p.state
 }
 
+// reach records that an upstream was reached over a new connection.
+func (p *fakePaths) reach() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reached = true
+}
+
 func (p *fakePaths) set(s pathmonitor.State) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -72,6 +79,20 @@
 	entries int
 	steps   []relayStep
 	calls   []dispatcher.RelayedCall
+	mu      sync.Mutex
+	none    bool // no other entry reaches the upstreams
+}
+
+func (r *fakeRelays) NoneReaches(string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.none
+}
+
+func (r *fakeRelays) setNone() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.none = true
 }
 
 func (r *fakeRelays) Pick(_ string, tried map[string]bool) (peerpicker.Peer, bool) {
@@ -293,33 +314,44 @@
 	}
 }
 
-// Connections that break with the paths of this entry are no evidence against requests or versions.
+// Connections that break with the paths of this entry are no evidence against requests or versions. If no
+// other entry reaches the upstreams either, these are down: guards against BUDGET, as crashes of the last
+// upstreams of a service were charged to nobody.
 func TestBrokenPathsChargeNobody(t *testing.T) {
+	failed := []string{"plain once  failed true"}
 	tests := map[string]struct {
-		settles pathmonitor.State
-		reached bool
+		settle  func(p *fakePaths, r *fakeRelays)
 		charges int
 		records []string
 	}{
-		"paths are sound":                     {pathmonitor.Reachable, true, 1, []string{"plain once  failed true"}},
-		"other failures keep them in doubt":   {pathmonitor.InDoubt, true, 1, []string{"plain once  failed true"}},
-		"no upstream is found":                {pathmonitor.Unreachable, false, 0, nil},
-		"no upstream has been reached as yet": {pathmonitor.InDoubt, false, 0, nil},
+		"paths are sound":                   {func(p *fakePaths, _ *fakeRelays) { p.set(pathmonitor.Reachable) }, 1, failed},
+		"other failures keep them in doubt": {func(p *fakePaths, _ *fakeRelays) { p.reach() }, 1, failed},
+		"no upstream is found":              {func(p *fakePaths, _ *fakeRelays) { p.set(pathmonitor.Unreachable) }, 0, nil},
+		"no upstream is found for a moment": {func(p *fakePaths, _ *fakeRelays) {
+			p.set(pathmonitor.Unreachable)
+			time.Sleep(200 * time.Millisecond)
+			p.set(pathmonitor.Reachable)
+		}, 0, nil},
+		"no upstream is found by any entry": {func(p *fakePaths, r *fakeRelays) {
+			p.set(pathmonitor.Unreachable)
+			time.Sleep(500 * time.Millisecond)
+			r.setNone()
+		}, 1, failed},
+		"no other entry finds one, nothing is known here": {func(_ *fakePaths, r *fakeRelays) { r.setNone() }, 0, nil},
+		"no upstream has been reached as yet":             {func(*fakePaths, *fakeRelays) {}, 0, nil},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c, u := &fakeTransport{steps: []step{{fail: true, verdict: sequoiasill.MayHaveRun}}}, &fakePeers{usageCounts: make(map[string]int)}
-			p := &fakePaths{state: pathmonitor.InDoubt}
-			d := newRelayingDispatcher(t, c, u, p, &fakeRelays{})
+			p, relays := &fakePaths{state: pathmonitor.InDoubt}, &fakeRelays{}
+			d := newRelayingDispatcher(t, c, u, p, relays)
 			d.Serve(context.Background(), call("/once/x", "key"), &reply{})
 			if n := len(d.Charges()); n != 0 {
 				t.Errorf("%d charges while the paths are in doubt", n)
 			}
-			p.set(tc.settles)
-			p.mu.Lock()
-			p.reached = tc.reached
-			p.mu.Unlock()
-			time.Sleep(200 * time.Millisecond)
+			tc.settle(p, relays)
+			d.AwaitDoubts(sequoiasill.NewSystemClock().Now() + 5*sequoiasill.Second)
 			if diff := cmp.Diff(tc.charges, len(d.Charges())); diff != "" {
 				t.Errorf("charges (-want +got):\n%s", diff)
 			}
--- a/relay/exchanger/paths.go
+++ b/relay/exchanger/paths.go
@@ -52,13 +52,31 @@
 func (e *Exchanger) WaysTo(service string) []peerpicker.Peer {
 	var out []peerpicker.Peer
 	for _, m := range e.gossip.Members() {
-		if m.Name == e.opts.Name || m.Leaving || m.State != gossiper.Alive {
-			continue
-		}
-		if f, ok := e.gossip.Fact(keyUnreachable + m.Name); ok && slices.Contains(strings.Fields(string(f.Value)), service) {
+		if m.Name == e.opts.Name || m.Leaving || m.State != gossiper.Alive || e.announcesUnreachable(m.Name, service) {
 			continue
 		}
 		out = append(out, peerpicker.Peer{Name: m.Name, Address: m.Address, Zone: m.Zone})
 	}
 	return out
 }
+
+// NoneReaches reports whether all other live entries, and at least one, announce that they reach no
+// upstream of a service. It implements relayer.Peers.
+func (e *Exchanger) NoneReaches(service string) bool {
+	others := 0
+	for _, m := range e.gossip.Members() {
+		switch {
+		case m.Name == e.opts.Name:
+		case !e.announcesUnreachable(m.Name, service):
+			return false
+		default:
+			others++
+		}
+	}
+	return others > 0
+}
+
+func (e *Exchanger) announcesUnreachable(entry, service string) bool {
+	f, ok := e.gossip.Fact(keyUnreachable + entry)
+	return ok && slices.Contains(strings.Fields(string(f.Value)), service)
+}
--- a/relay/exchanger/paths_test.go
+++ b/relay/exchanger/paths_test.go
@@ -52,3 +52,23 @@
 		t.Errorf("it took %s until an entry was told", took)
 	}
 }
+
+// All other entries have to announce that they do not reach a service.
+func TestNoneReachesAService(t *testing.T) {
+	entries := cluster(t, 3)
+	none := func() bool { return entries[0].NoneReaches("model") }
+	entries[1].SetUnreachable([]string{"model"})
+	entries[2].SetUnreachable([]string{"plain"})
+	await(t, "ways to the service", 1, func() int { return len(entries[0].WaysTo("model")) })
+	if none() {
+		t.Error("no entry reaches the service, though one announces another one only")
+	}
+	entries[2].SetUnreachable([]string{"model", "plain"})
+	await(t, "no entry reaches the service", true, none)
+	entries[1].SetUnreachable(nil)
+	await(t, "no entry reaches the service after one does again", false, none)
+	alone := startEntry(t, 9, "1", nil)
+	if alone.NoneReaches("model") {
+		t.Error("an entry that knows no other takes the service for unreachable to all")
+	}
+}
--- a/relay/relayer/client.go
+++ b/relay/relayer/client.go
@@ -25,6 +25,9 @@
 // Peers lists the entries that may reach the upstreams of a service, without this one.
 type Peers interface {
 	WaysTo(service string) []peerpicker.Peer
+	// NoneReaches reports whether all other entries, and at least one, announce that they reach no upstream
+	// of a service.
+	NoneReaches(service string) bool
 }
 
 const (
@@ -75,6 +78,9 @@
 	return c.picker.Pick(c.clock.Now(), service, peers, tried)
 }
 
+// NoneReaches implements dispatcher.Relays.
+func (c *Client) NoneReaches(service string) bool { return c.peers.NoneReaches(service) }
+
 // Error is the error of a call that another entry did not serve.
 type Error struct {
 	Verdict sequoiasill.Verdict // NotRun unless the entry accepted the call
--- a/relay/relayer/relayer_test.go
+++ b/relay/relayer/relayer_test.go
@@ -41,6 +41,8 @@
 	return []peerpicker.Peer{{Name: "e1", Address: p.address}}
 }
 
+func (p peers) NoneReaches(string) bool { return false }
+
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
