Count relayed calls that upstreams rejected as repeats

A partitioned entry offers a call to another one, whose upstreams reject it; the refusal says 'not run', and how many upstreams may have run the call, but not how many received it. So the call went on to the next entry as if it had reached none, and its arrival there was charged to nobody.

Change: refusals of relayed calls tell the number of upstreams that received the call, and the entry that relays it again takes a repeat from its budget, as after a rejection of its own upstreams. Older builds tell none, as before.

TestRelayedCallThatUpstreamsRejectedIsARepeat failed before (two entries got the call with an empty budget, want one); TestServesRelayedCalls compares the arrivals of eleven cases.

--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -39,8 +39,9 @@
 
 // RefusalError is the error of a call that another entry refused or failed to serve.
 type RefusalError struct {
-	Failure *sequoiasill.Failure
-	Runs    int // upstreams that may have run the call, those before it was relayed included
+	Failure  *sequoiasill.Failure
+	Runs     int // upstreams that may have run the call, those before it was relayed included
+	Arrivals int // upstreams that received the call from the other entry, those that rejected it included
 }
 
 // Error returns the failure's text.
@@ -126,10 +127,11 @@
 func (t *try) handleRelayRefusal(ctx context.Context, refusal *RefusalError) (nextStep, string) {
 	f := refusal.Failure
 	if f.Verdict != sequoiasill.NotRun {
-		t.arrivals++
+		t.arrivals += max(refusal.Arrivals, 1)
 		t.runs = max(t.runs+1, refusal.Runs)
 		return t.conclude(classifier.End{Kind: classifier.Failed}, "failed at another entry", f.Message, "status", f.Status)
 	}
+	t.arrivals += refusal.Arrivals
 	switch f.Code {
 	case sequoiasill.CodeNoUpstream, sequoiasill.CodeLeaving, sequoiasill.CodeOverloaded:
 		return t.conclude(classifier.End{Kind: classifier.NotSent}, "refused by another entry", f.Message, "status", f.Status, "code", string(f.Code))
@@ -172,9 +174,9 @@
 type RelayWriter interface {
 	ResponseWriter
 
-	// SetRuns sets the number of upstreams that may have run the call up to now. It is called before
-	// the methods of ResponseWriter.
-	SetRuns(n int)
+	// SetCounts sets the number of upstreams that may have run the call up to now, and of those that have
+	// received it from this entry. It is called before the methods of ResponseWriter.
+	SetCounts(runs, arrivals int)
 }
 
 // ServeRelayed runs a call that another entry relayed and returns when its response has been sent.
@@ -185,44 +187,47 @@
 	d.serve(ctx, call, nil, func(j *job) {
 		j.relayed = true
 		j.runs, j.arrivals = runs, runs
-		j.reply = &countingWriter{RelayWriter: reply, job: j}
+		j.reply = &countingWriter{RelayWriter: reply, job: j, arrivalsBefore: runs}
 	})
 }
 
-// countingWriter tells the number of runs with each part of a response.
+// countingWriter tells the numbers of runs and arrivals with each part of a response.
 type countingWriter struct {
 	RelayWriter
 
-	job *job
+	job            *job
+	arrivalsBefore int // of the call at other entries
 }
 
+func (w *countingWriter) count(runs int) { w.SetCounts(runs, w.job.arrivals-w.arrivalsBefore) }
+
 // SendWhole implements ResponseWriter.
 func (w *countingWriter) SendWhole(status int, header http.Header, body []byte) error {
-	w.SetRuns(w.job.runs)
+	w.count(w.job.runs)
 	return w.RelayWriter.SendWhole(status, header, body)
 }
 
 // Refuse implements ResponseWriter.
 func (w *countingWriter) Refuse(f *sequoiasill.Failure) {
-	w.SetRuns(w.job.runs)
+	w.count(w.job.runs)
 	w.RelayWriter.Refuse(f)
 }
 
 // Begin implements ResponseWriter. The upstream that sends the stream is counted when it has ended.
 func (w *countingWriter) Begin(status int, header http.Header) error {
-	w.SetRuns(w.job.runs + 1)
+	w.count(w.job.runs + 1)
 	return w.RelayWriter.Begin(status, header)
 }
 
 // End implements ResponseWriter.
 func (w *countingWriter) End() error {
-	w.SetRuns(w.job.runs)
+	w.count(w.job.runs)
 	return w.RelayWriter.End()
 }
 
 // Abort implements ResponseWriter.
 func (w *countingWriter) Abort() {
-	w.SetRuns(w.job.runs)
+	w.count(w.job.runs)
 	w.RelayWriter.Abort()
 }
 
--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -63,15 +63,16 @@
 
 // relayStep scripts the result of one relayed call.
 type relayStep struct {
-	refusal *sequoiasill.Failure
-	verdict sequoiasill.Verdict // of a call that is lost
-	lost    bool
-	events  bool
-	broken  bool
-	status  int
-	body    string
-	runs    int
-	delay   sequoiasill.Millis // before the response, unless the call is cancelled
+	refusal  *sequoiasill.Failure
+	verdict  sequoiasill.Verdict // of a call that is lost
+	lost     bool
+	events   bool
+	broken   bool
+	status   int
+	body     string
+	runs     int
+	arrivals int
+	delay    sequoiasill.Millis // before the response, unless the call is cancelled
 }
 
 // fakeRelays has a number of other entries, which play their steps in turn.
@@ -114,7 +115,7 @@
 	}
 	switch {
 	case s.refusal != nil:
-		return nil, &dispatcher.RefusalError{Failure: s.refusal, Runs: s.runs}
+		return nil, &dispatcher.RefusalError{Failure: s.refusal, Runs: s.runs, Arrivals: s.arrivals}
 	case s.lost:
 		return nil, sendError{v: s.verdict}
 	}
@@ -231,14 +232,42 @@
 	}
 }
 
-// relayReply records the runs that were told with a response.
+// Guards against BUDGET: calls that the upstreams of another entry rejected went to a third one without a
+// repeat in the retry budget.
+func TestRelayedCallThatUpstreamsRejectedIsARepeat(t *testing.T) {
+	tests := map[string]struct {
+		arrivals, relayed int
+		want              reply
+	}{
+		"no upstream received it": {0, 2, reply{Status: 200, Body: "good", Ended: true}},
+		"upstreams rejected it":   {2, 1, reply{Status: 503, Ended: true, RetryAfter: 250}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			rejected := relayStep{refusal: refusal(sequoiasill.NotRun, sequoiasill.CodeNoUpstream, 503), arrivals: tc.arrivals}
+			relays := &fakeRelays{entries: 2, steps: []relayStep{rejected, {status: 200, body: "good", runs: 1}}}
+			empty := rationer.New(rationer.Limits{Window: 1000}, 1)
+			d := newDispatcherOf(&fakeTransport{}, &fakePeers{usageCounts: make(map[string]int)}, soundScreener(), &fakePaths{state: pathmonitor.Unreachable}, relays, empty, hclog.NewNullLogger())
+			got := &reply{}
+			d.Serve(context.Background(), call("/once/x", "key"), got)
+			if diff := cmp.Diff(tc.want, *got); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tc.relayed, len(relays.calls)); diff != "" {
+				t.Errorf("entries that got the call (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// relayReply records the runs and arrivals that were told with a response.
 type relayReply struct {
 	reply
 
-	runs int
+	runs, arrivals int
 }
 
-func (r *relayReply) SetRuns(n int) { r.runs = n }
+func (r *relayReply) SetCounts(runs, arrivals int) { r.runs, r.arrivals = runs, arrivals }
 
 // An entry serves the calls of others over its own paths only, and charges no quota for them.
 func TestServesRelayedCalls(t *testing.T) {
@@ -250,17 +279,19 @@
 		before    int // runs before the call was relayed
 		want      reply
 		runs      int
+		arrivals  int // at upstreams of this entry
 	}{
-		"a call":                  {"/once/x", "key", pathmonitor.Reachable, []step{good}, 0, reply{Status: 200, Body: "good", Ended: true}, 1},
-		"a quota that is spent":   {"/once/x", "spent", pathmonitor.Reachable, []step{good}, 0, reply{Status: 200, Body: "good", Ended: true}, 1},
-		"a stream":                {"/long/x", "key", pathmonitor.Reachable, []step{{status: 200, events: true, body: "id: 1\ndata: a\n\n"}}, 0, reply{Status: 200, Body: "id: 1\ndata: a\n\n", Ended: true}, 1},
-		"no path from here":       {"/once/x", "key", pathmonitor.Unreachable, []step{good}, 0, reply{Status: 503, Ended: true, RetryAfter: 250}, 0},
-		"two errors":              {"/read/x", "key", pathmonitor.Reachable, []step{{status: 500, body: "bad"}}, 0, reply{Status: 500, Body: "bad", Ended: true}, 2},
-		"an error after a run":    {"/read/x", "key", pathmonitor.Reachable, []step{{status: 500, body: "bad"}, good}, 1, reply{Status: 500, Body: "bad", Ended: true}, 2},
-		"connects that all fail":  {"/once/x", "key", pathmonitor.Reachable, []step{{fail: true, verdict: sequoiasill.NotRun}}, 0, reply{Status: 503, Ended: true, RetryAfter: 250}, 0},
-		"a lost response":         {"/once/x", "key", pathmonitor.Reachable, []step{{fail: true, verdict: sequoiasill.MayHaveRun}}, 0, reply{Status: 502, Ended: true}, 1},
-		"an unknown key":          {"/once/x", "other", pathmonitor.Reachable, []step{good}, 0, reply{Status: 401, Ended: true}, 0},
-		"a stream that broke off": {"/long/x", "key", pathmonitor.Reachable, []step{{status: 200, events: true, body: "id: 1\ndata: a\n\nid", broken: true}}, 0, reply{Status: 200, Body: "id: 1\ndata: a\n\n", WasCut: true}, 1},
+		"a call":                  {"/once/x", "key", pathmonitor.Reachable, []step{good}, 0, reply{Status: 200, Body: "good", Ended: true}, 1, 1},
+		"a quota that is spent":   {"/once/x", "spent", pathmonitor.Reachable, []step{good}, 0, reply{Status: 200, Body: "good", Ended: true}, 1, 1},
+		"a stream":                {"/long/x", "key", pathmonitor.Reachable, []step{{status: 200, events: true, body: "id: 1\ndata: a\n\n"}}, 0, reply{Status: 200, Body: "id: 1\ndata: a\n\n", Ended: true}, 1, 1},
+		"no path from here":       {"/once/x", "key", pathmonitor.Unreachable, []step{good}, 0, reply{Status: 503, Ended: true, RetryAfter: 250}, 0, 0},
+		"two errors":              {"/read/x", "key", pathmonitor.Reachable, []step{{status: 500, body: "bad"}}, 0, reply{Status: 500, Body: "bad", Ended: true}, 2, 2},
+		"an error after a run":    {"/read/x", "key", pathmonitor.Reachable, []step{{status: 500, body: "bad"}, good}, 1, reply{Status: 500, Body: "bad", Ended: true}, 2, 1},
+		"connects that all fail":  {"/once/x", "key", pathmonitor.Reachable, []step{{fail: true, verdict: sequoiasill.NotRun}}, 0, reply{Status: 503, Ended: true, RetryAfter: 250}, 0, 0},
+		"rejected by upstreams":   {"/once/x", "key", pathmonitor.Reachable, []step{{status: 503, refused: true}}, 0, reply{Status: 503, Ended: true, RetryAfter: 250}, 0, 3},
+		"a lost response":         {"/once/x", "key", pathmonitor.Reachable, []step{{fail: true, verdict: sequoiasill.MayHaveRun}}, 0, reply{Status: 502, Ended: true}, 1, 1},
+		"an unknown key":          {"/once/x", "other", pathmonitor.Reachable, []step{good}, 0, reply{Status: 401, Ended: true}, 0, 0},
+		"a stream that broke off": {"/long/x", "key", pathmonitor.Reachable, []step{{status: 200, events: true, body: "id: 1\ndata: a\n\nid", broken: true}}, 0, reply{Status: 200, Body: "id: 1\ndata: a\n\n", WasCut: true}, 1, 1},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -276,8 +307,8 @@
 			if diff := cmp.Diff(tc.want, got.reply); diff != "" {
 				t.Errorf("response (-want +got):\n%s", diff)
 			}
-			if diff := cmp.Diff([]int{tc.runs, 0}, []int{got.runs, len(relays.calls)}); diff != "" {
-				t.Errorf("runs, calls relayed again (-want +got):\n%s", diff)
+			if diff := cmp.Diff([]int{tc.runs, tc.arrivals, 0}, []int{got.runs, got.arrivals, len(relays.calls)}); diff != "" {
+				t.Errorf("runs, arrivals, calls relayed again (-want +got):\n%s", diff)
 			}
 		})
 	}
--- a/relay/relayer/codec.go
+++ b/relay/relayer/codec.go
@@ -57,15 +57,15 @@
 	return out
 }
 
-func encodeRefusal(f *sequoiasill.Failure, runs int) *relaypb.ServeResponse {
+func encodeRefusal(f *sequoiasill.Failure, runs, arrivals int) *relaypb.ServeResponse {
 	return &relaypb.ServeResponse{Part: &relaypb.ServeResponse_Refusal{Refusal: &relaypb.Refusal{
-		Status: int32(f.Status), Code: string(f.Code), Message: f.Message, Verdict: f.Verdict.String(), RetryAfterMillis: int64(f.RetryAfter), Runs: int32(runs),
+		Status: int32(f.Status), Code: string(f.Code), Message: f.Message, Verdict: f.Verdict.String(), RetryAfterMillis: int64(f.RetryAfter), Runs: int32(runs), Arrivals: int32(arrivals),
 	}}}
 }
 
 func decodeRefusal(r *relaypb.Refusal) *dispatcher.RefusalError {
 	f := sequoiasill.NewFailure(sequoiasill.ParseVerdict(r.GetVerdict()), sequoiasill.Code(r.GetCode()), int(r.GetStatus()), "%s", r.GetMessage())
-	return &dispatcher.RefusalError{Failure: f.WithRetryAfter(sequoiasill.Millis(r.GetRetryAfterMillis())), Runs: int(r.GetRuns())}
+	return &dispatcher.RefusalError{Failure: f.WithRetryAfter(sequoiasill.Millis(r.GetRetryAfterMillis())), Runs: int(r.GetRuns()), Arrivals: int(r.GetArrivals())}
 }
 
 // runsTrailer is the metadata key of the number of runs of a response that broke off.
--- a/relay/relayer/relayer_test.go
+++ b/relay/relayer/relayer_test.go
@@ -82,12 +82,14 @@
 		body    string
 		bodyErr error
 		runs    int
-		verdict sequoiasill.Verdict // of an error
-		code    sequoiasill.Code    // of a refusal
-		failed  bool
+		// arrivals is the number that a refusal tells.
+		arrivals int
+		verdict  sequoiasill.Verdict // of an error
+		code     sequoiasill.Code    // of a refusal
+		failed   bool
 	}{
 		"a whole response": {serve: func(_ context.Context, _ *sequoiasill.Call, _ int, reply dispatcher.RelayWriter) {
-			reply.SetRuns(2)
+			reply.SetCounts(2, 1)
 			_ = reply.SendWhole(200, http.Header{"Signature": {"s"}}, []byte("good"))
 		}, body: "good", runs: 2},
 		"an empty response": {serve: func(_ context.Context, _ *sequoiasill.Call, _ int, reply dispatcher.RelayWriter) {
@@ -100,20 +102,21 @@
 			_ = reply.Begin(200, http.Header{"Signature": {"s"}})
 			_ = reply.Write([]byte("id: 1\n\n"))
 			_ = reply.Write([]byte("id: 2\n\n"))
-			reply.SetRuns(3)
+			reply.SetCounts(3, 1)
 			_ = reply.End()
 		}, body: "id: 1\n\nid: 2\n\n", runs: 3},
 		"a stream that breaks off": {serve: func(_ context.Context, _ *sequoiasill.Call, _ int, reply dispatcher.RelayWriter) {
 			_ = reply.Begin(200, http.Header{"Signature": {"s"}})
 			_ = reply.Write([]byte("id: 1\n\n"))
-			reply.SetRuns(2)
+			reply.SetCounts(2, 1)
 			reply.Abort()
 		}, body: "id: 1\n\n", bodyErr: io.ErrUnexpectedEOF, runs: 2},
 		"a refused offer": {refusal: sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeLeaving, 503, "leaving"),
 			verdict: sequoiasill.NotRun, code: sequoiasill.CodeLeaving, failed: true},
 		"a call that may have run": {serve: func(_ context.Context, _ *sequoiasill.Call, _ int, reply dispatcher.RelayWriter) {
+			reply.SetCounts(2, 3)
 			reply.Refuse(sequoiasill.NewFailure(sequoiasill.MayHaveRun, sequoiasill.CodeUpstreamFailed, 502, "lost"))
-		}, verdict: sequoiasill.MayHaveRun, code: sequoiasill.CodeUpstreamFailed, failed: true},
+		}, runs: 2, arrivals: 3, verdict: sequoiasill.MayHaveRun, code: sequoiasill.CodeUpstreamFailed, failed: true},
 		"a call without a response": {serve: func(_ context.Context, _ *sequoiasill.Call, _ int, reply dispatcher.RelayWriter) {
 			reply.Abort()
 		}, verdict: sequoiasill.MayHaveRun, failed: true},
@@ -126,12 +129,12 @@
 			r, err := send(context.Background(), t, newClient(t, l.Addr().String()))
 			if tc.failed {
 				var refusal *dispatcher.RefusalError
-				code := sequoiasill.Code("")
+				code, counts := sequoiasill.Code(""), [2]int{}
 				if errors.As(err, &refusal) {
-					code = refusal.Failure.Code
+					code, counts = refusal.Failure.Code, [2]int{refusal.Runs, refusal.Arrivals}
 				}
-				if diff := cmp.Diff([]string{tc.verdict.String(), string(tc.code)}, []string{dispatcher.Verdict(err).String(), string(code)}); diff != "" {
-					t.Errorf("verdict, code of %v (-want +got):\n%s", err, diff)
+				if diff := cmp.Diff([]any{tc.verdict.String(), tc.code, [2]int{tc.runs, tc.arrivals}}, []any{dispatcher.Verdict(err).String(), code, counts}); diff != "" {
+					t.Errorf("verdict, code, runs and arrivals of %v (-want +got):\n%s", err, diff)
 				}
 				return
 			}
--- a/relay/relayer/server.go
+++ b/relay/relayer/server.go
@@ -75,7 +75,7 @@
 		return status.Error(codes.InvalidArgument, "no offer")
 	}
 	if f := s.dispatcher.AcceptRelayed(offer.GetService(), offer.GetTrafficVersion()); f != nil {
-		return stream.Send(encodeRefusal(f, 0))
+		return stream.Send(encodeRefusal(f, 0, 0))
 	}
 	acceptedAt := s.clock.Now()
 	if err := stream.Send(&relaypb.ServeResponse{Part: &relaypb.ServeResponse_Accepted{Accepted: &relaypb.Accepted{}}}); err != nil {
@@ -91,7 +91,7 @@
 	now := s.clock.Now()
 	if now-acceptedAt > maxCallDelay {
 		return stream.Send(encodeRefusal(sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeNoUpstream, http.StatusServiceUnavailable,
-			"call came %s after its offer was accepted", now-acceptedAt), int(call.GetRuns())))
+			"call came %s after its offer was accepted", now-acceptedAt), int(call.GetRuns()), 0))
 	}
 	w := &writer{stream: stream}
 	s.dispatcher.ServeRelayed(stream.Context(), decodeCall(call, now), int(call.GetRuns()), w)
@@ -110,10 +110,12 @@
 	stream  relaypb.Relay_ServeServer
 	aborted bool
 	runs    int
+	// arrivals is the number of upstreams that received the call from this entry.
+	arrivals int
 }
 
-// SetRuns implements dispatcher.RelayWriter.
-func (w *writer) SetRuns(n int) { w.runs = n }
+// SetCounts implements dispatcher.RelayWriter.
+func (w *writer) SetCounts(runs, arrivals int) { w.runs, w.arrivals = runs, arrivals }
 
 func (w *writer) sendHead(code int, header http.Header, events bool) error {
 	return w.stream.Send(&relaypb.ServeResponse{Part: &relaypb.ServeResponse_Head{Head: &relaypb.Head{Status: int32(code), Header: encodeHeader(header), EventStream: events, Runs: int32(w.runs)}}})
@@ -132,7 +134,7 @@
 
 // Refuse implements dispatcher.ResponseWriter.
 func (w *writer) Refuse(f *sequoiasill.Failure) {
-	if err := w.stream.Send(encodeRefusal(f, w.runs)); err != nil {
+	if err := w.stream.Send(encodeRefusal(f, w.runs, w.arrivals)); err != nil {
 		w.aborted = true
 	}
 }
