Soak: tell the latency of good calls to the plain service

Half of the calls and 99 in 100, as the callers see them; counts are in a file of their own. TestPercentile.

--- a/cmd/sequoia-soak/main.go
+++ b/cmd/sequoia-soak/main.go
@@ -75,6 +75,8 @@
 	}
 	fmt.Printf("seed %d: %d calls, %d good, %d refused, %d failed, %d without an answer; %d promises broken\n",
 		o.Seed, counts.Calls, counts.Succeeded, counts.Refused, counts.Failed, counts.NoResponse, len(broken))
+	fmt.Printf("  good calls to plain: half of them within %s, 99 in 100 within %s\n",
+		counts.MedianLatency.Round(time.Millisecond/10), counts.HighLatency.Round(time.Millisecond/10))
 	for _, f := range counts.WorstWindows {
 		fmt.Printf("  repeats at %s: %d of %.0f in the fullest window, %d in all\n", f.Service, f.Repeats, f.Allowed, counts.Retries)
 	}
--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -76,17 +76,7 @@
 	activeFaults  int                     // unplanned faults that are active
 	lastFaultEnd  time.Time               // of unplanned faults
 	counts        Counts
-}
-
-// Counts holds the event counts of a run.
-type Counts struct {
-	Calls, Succeeded, Refused, Failed, NoResponse int
-	Faults                                        map[string]int // faults and planned work, by name
-	Retries                                       int
-	WorstWindows                                  []auditor.Window // windows with the largest use of the limit on retries, by service
-	RateLimited                                   int              // calls that arrived while the upstream's rate limit applied
-	PartitionedServed, PartitionedCalls           int              // calls to entries that were partitioned from all replicas
-	MaxRateLimitUse                               float64          // largest fraction of the allowed calls that arrived in one window
+	latencies     []time.Duration // of good calls to the plain service
 }
 
 func newChecker(retryLimits rationer.Limits) *checker {
@@ -300,6 +290,9 @@
 	switch status {
 	case http.StatusOK:
 		c.counts.Succeeded++
+		if r.kind.service() == plainService {
+			c.latencies = append(c.latencies, time.Since(r.sent))
+		}
 		if r.executions == 0 {
 			c.addViolationLocked("call %s got a success that no upstream gave%s", id, r.describe())
 		}
@@ -378,6 +371,8 @@
 			c.addViolationLocked("call %s ran and ended without an answer under planned work only: %v%s", id, r.err, r.describe())
 		}
 	}
+	slices.Sort(c.latencies)
+	c.counts.MedianLatency, c.counts.HighLatency = percentile(c.latencies, 50), percentile(c.latencies, 99)
 	stranded := c.partitions.results()
 	c.counts.PartitionedServed, c.counts.PartitionedCalls = c.partitions.served, c.partitions.counted
 	c.counts.Retries, c.counts.WorstWindows = c.retries.auditor.Repeats(), c.retries.auditor.WorstWindows(c.retries.limits)
--- a/standin/soaker/upgrades_test.go
+++ b/standin/soaker/upgrades_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -54,3 +55,27 @@
 		})
 	}
 }
+
+func TestPercentile(t *testing.T) {
+	durations := make([]time.Duration, 101)
+	for i := range durations {
+		durations[i] = time.Duration(i)
+	}
+	tests := map[string]struct {
+		sorted  []time.Duration
+		percent int
+		want    time.Duration
+	}{
+		"none":            {nil, 50, 0},
+		"one":             {durations[7:8], 99, 7},
+		"median":          {durations, 50, 50},
+		"99th percentile": {durations, 99, 99},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(tc.want, percentile(tc.sorted, tc.percent)); diff != "" {
+				t.Errorf("percentile (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
