--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"sequoiasill.dev/sequoiasill"
-	"sequoiasill.dev/sequoiasill/decide/auditor"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
