Publish changes of quarantines in their order while an entry leaves

Each takes the changes since the last one, and the older ones could be published last, with the newer version. Both hold a lock now, as for the state of the paths.

--- a/relay/exchanger/crashes.go
+++ b/relay/exchanger/crashes.go
@@ -69,6 +69,8 @@
 // exchangeCrashes tells the collectors of crashes under calls of this entry, and all entries of
 // suspected and quarantined parts.
 func (e *Exchanger) exchangeCrashes() {
+	e.crashesMu.Lock()
+	defer e.crashesMu.Unlock()
 	if e.screener.Idle() {
 		return
 	}
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -194,6 +194,8 @@
 	unreachableMu sync.Mutex
 	unreachable   []string // services whose upstreams this entry does not reach
 
+	crashesMu sync.Mutex // held while changes of quarantines are taken and published, so that their order stays
+
 	compressMu        sync.Mutex
 	compressed        []byte // gzipped configuration of compressedVersion
 	compressedVersion uint64
