Take a repeat for calls that older entries refused

An older entry does not tell the arrivals, which read as none.

Change: the field has presence. A call that an entry refuses after it accepted it, without telling the arrivals, counts as received by one upstream; a refused offer by none. TestRefusalOfAnOlderEntry: 'of a call' failed before (0 arrivals, want 1). What older entries relay among themselves stays uncounted until they are replaced.

--- a/relay/relayer/client.go
+++ b/relay/relayer/client.go
@@ -160,7 +160,7 @@
 		return nil, err
 	}
 	if f := r.GetRefusal(); f != nil {
-		return nil, decodeRefusal(f)
+		return nil, decodeRefusal(f, 0)
 	}
 	if r.GetAccepted() == nil {
 		return nil, errors.New("offer was neither accepted nor refused")
@@ -188,6 +188,10 @@
 	return conn, nil
 }
 
+// untoldArrivals is the number of upstreams that are taken to have received a call which an older server
+// refused after it had accepted it.
+const untoldArrivals = 1
+
 // deliver sends an accepted call and waits for the head of its response.
 func (c *Client) deliver(stream relaypb.Relay_ServeClient, p peerpicker.Peer, call dispatcher.RelayedCall) (*dispatcher.Response, error) {
 	lost := func(op string, err error) error {
@@ -204,7 +208,7 @@
 		return nil, lost("response of ", err)
 	}
 	if f := r.GetRefusal(); f != nil {
-		return nil, decodeRefusal(f)
+		return nil, decodeRefusal(f, untoldArrivals)
 	}
 	head := r.GetHead()
 	if head == nil {
--- a/relay/relayer/codec.go
+++ b/relay/relayer/codec.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"google.golang.org/grpc/metadata"
+	"google.golang.org/protobuf/proto"
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/relay/dispatcher"
@@ -59,13 +60,18 @@
 
 func encodeRefusal(f *sequoiasill.Failure, runs, arrivals int) *relaypb.ServeResponse {
 	return &relaypb.ServeResponse{Part: &relaypb.ServeResponse_Refusal{Refusal: &relaypb.Refusal{
-		Status: int32(f.Status), Code: string(f.Code), Message: f.Message, Verdict: f.Verdict.String(), RetryAfterMillis: int64(f.RetryAfter), Runs: int32(runs), Arrivals: int32(arrivals),
+		Status: int32(f.Status), Code: string(f.Code), Message: f.Message, Verdict: f.Verdict.String(), RetryAfterMillis: int64(f.RetryAfter), Runs: int32(runs), Arrivals: proto.Int32(int32(arrivals)),
 	}}}
 }
 
-func decodeRefusal(r *relaypb.Refusal) *dispatcher.RefusalError {
+// decodeRefusal decodes a refusal. If it does not tell the arrivals, they are untold.
+func decodeRefusal(r *relaypb.Refusal, untold int) *dispatcher.RefusalError {
+	arrivals := untold
+	if r.Arrivals != nil {
+		arrivals = int(r.GetArrivals())
+	}
 	f := sequoiasill.NewFailure(sequoiasill.ParseVerdict(r.GetVerdict()), sequoiasill.Code(r.GetCode()), int(r.GetStatus()), "%s", r.GetMessage())
-	return &dispatcher.RefusalError{Failure: f.WithRetryAfter(sequoiasill.Millis(r.GetRetryAfterMillis())), Runs: int(r.GetRuns()), Arrivals: int(r.GetArrivals())}
+	return &dispatcher.RefusalError{Failure: f.WithRetryAfter(sequoiasill.Millis(r.GetRetryAfterMillis())), Runs: int(r.GetRuns()), Arrivals: arrivals}
 }
 
 // runsTrailer is the metadata key of the number of runs of a response that broke off.
--- a/relay/relayer/relayer_test.go
+++ b/relay/relayer/relayer_test.go
@@ -12,11 +12,13 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/hashicorp/go-hclog"
+	"google.golang.org/grpc"
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/peerpicker"
 	"sequoiasill.dev/sequoiasill/relay/dispatcher"
 	"sequoiasill.dev/sequoiasill/relay/relayer"
+	"sequoiasill.dev/sequoiasill/relay/relaypb"
 )
 
 // clock is shared by both ends, as clocks that are started apart may differ by a millisecond.
@@ -248,3 +250,55 @@
 		t.Errorf("body is %q, error %v", body, err)
 	}
 }
+
+// olderServer accepts each call and refuses it then, without telling the arrivals.
+type olderServer struct {
+	relaypb.UnimplementedRelayServer
+
+	refusesOffers bool
+}
+
+func (s olderServer) Serve(stream relaypb.Relay_ServeServer) error {
+	refusal := &relaypb.ServeResponse{Part: &relaypb.ServeResponse_Refusal{Refusal: &relaypb.Refusal{Status: 503, Code: string(sequoiasill.CodeNoUpstream), Verdict: sequoiasill.NotRun.String()}}}
+	if _, err := stream.Recv(); err != nil {
+		return err
+	}
+	if s.refusesOffers {
+		return stream.Send(refusal)
+	}
+	if err := stream.Send(&relaypb.ServeResponse{Part: &relaypb.ServeResponse_Accepted{Accepted: &relaypb.Accepted{}}}); err != nil {
+		return err
+	}
+	if _, err := stream.Recv(); err != nil {
+		return err
+	}
+	return stream.Send(refusal)
+}
+
+// Guards against BUDGET in an upgrade: upstreams may have rejected what an entry refuses that does not tell
+// how many received it.
+func TestRefusalOfAnOlderEntry(t *testing.T) {
+	tests := map[string]struct {
+		server   olderServer
+		arrivals int
+	}{
+		"of a call":   {olderServer{}, 1},
+		"of an offer": {olderServer{refusesOffers: true}, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			l, s := listen(t), grpc.NewServer()
+			relaypb.RegisterRelayServer(s, tc.server)
+			go func() { _ = s.Serve(l) }()
+			t.Cleanup(s.Stop)
+			_, err := send(context.Background(), t, newClient(t, l.Addr().String()))
+			var refusal *dispatcher.RefusalError
+			if !errors.As(err, &refusal) {
+				t.Fatalf("error is %v, a refusal is wanted", err)
+			}
+			if diff := cmp.Diff(tc.arrivals, refusal.Arrivals); diff != "" {
+				t.Errorf("arrivals (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
