Every end of a caller's request without a response leaves one line

What operators saw: a request ended without an answer, and nothing told why. net/http closed connections at its header timeout, rejected what it could not parse and dropped responses that could not be written without a line; an idle connection was closed without one; "caller left" did not tell a reset from an end of the sending side or a stop of this process.

The acceptor now records how each connection ends and logs it once, unless the handler does so, with the request's ID or the caller's address and the bytes read. sequoia_caller_ends_total counts the ends by cause.

--- a/relay/acceptor/acceptor.go
+++ b/relay/acceptor/acceptor.go
@@ -38,6 +38,8 @@
 	server      *http.Server
 	listener    net.Listener
 	idleTimeout func() sequoiasill.Millis
+	requestID   func(*http.Request) string
+	meter       Meter
 	log         hclog.Logger
 
 	mu       sync.Mutex
@@ -45,14 +47,20 @@
 	draining bool
 }
 
+// Meter counts the ends of callers' connections and requests without a complete response.
+type Meter interface {
+	CallerEnded(cause string)
+}
+
 // New serves callers on l until Shutdown. idleTimeout returns the configured idle timeout of a
-// connection.
-func New(l net.Listener, h http.Handler, idleTimeout func() sequoiasill.Millis, log hclog.Logger) *Acceptor {
-	a := &Acceptor{listener: l, idleTimeout: idleTimeout, log: log.Named("acceptor"), conns: make(map[*callerConn]bool)}
+// connection, and requestID the ID by which a request is logged.
+func New(l net.Listener, h http.Handler, idleTimeout func() sequoiasill.Millis, requestID func(*http.Request) string, m Meter, log hclog.Logger) *Acceptor {
+	a := &Acceptor{listener: l, idleTimeout: idleTimeout, requestID: requestID, meter: m, log: log.Named("acceptor"), conns: make(map[*callerConn]bool)}
 	a.server = &http.Server{
-		Handler: a.closeWhenDraining(h), ReadHeaderTimeout: defaultHeaderTimeout.Duration(), IdleTimeout: maxIdle.Duration(),
+		Handler: a.trackRequests(a.closeWhenDraining(h)), ReadHeaderTimeout: defaultHeaderTimeout.Duration(), IdleTimeout: maxIdle.Duration(),
 		MaxHeaderBytes: defaultHeaderBytes + headerSlack, ConnState: a.trackState,
-		ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ErrorLog:    a.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
 	}
 	go func() {
 		err := a.server.Serve(&callerListener{Listener: l, acceptor: a})
@@ -88,20 +96,26 @@
 		return
 	}
 	k.mu.Lock()
+	before := k.state
 	k.state = s
+	if s == http.StateActive {
+		k.request = nil
+	}
 	if k.timer != nil {
 		k.timer.Stop()
 		k.timer = nil
 	}
 	if s == http.StateIdle {
-		k.timer = time.AfterFunc(a.idleTimeout().Duration(), func() { k.closeIdle() })
+		k.timer = time.AfterFunc(a.idleTimeout().Duration(), func() { k.closeIdle(causeIdleTimeout) })
+		k.bytes = 0
 	}
 	k.mu.Unlock()
 	if s == http.StateIdle && a.isDraining() {
 		// The response started before the draining did, so it had no Connection: close.
-		k.closeIdle()
+		k.closeIdle(causeStop)
 	}
 	if s == http.StateClosed || s == http.StateHijacked {
+		a.recordEnd(k, before)
 		a.mu.Lock()
 		delete(a.conns, k)
 		a.mu.Unlock()
@@ -130,7 +144,7 @@
 	a.mu.Unlock()
 	open := 0
 	for _, k := range conns {
-		if !k.closeIdle() {
+		if !k.closeIdle(causeStop) {
 			open++
 		}
 	}
@@ -147,6 +161,7 @@
 		}
 		time.Sleep(idleCloseInterval)
 	}
+	a.markStopped()
 	if err := a.server.Close(); err != nil {
 		a.log.Debug("server not closed", "error", err)
 	}
@@ -165,62 +180,13 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &callerConn{Conn: c}
+	k := &callerConn{Conn: c, acceptedAt: time.Now()}
 	l.acceptor.mu.Lock()
 	l.acceptor.conns[k] = true
 	l.acceptor.mu.Unlock()
 	return k, nil
 }
 
-// callerConn is a caller's connection that tracks whether a request is pending on it.
-type callerConn struct {
-	net.Conn
-
-	mu             sync.Mutex
-	state          http.ConnState
-	requestPending bool // bytes were read since the last write
-	closed         bool
-	timer          *time.Timer // set while the connection is idle
-}
-
-// Read implements net.Conn. Data that arrives after the decision to close is discarded, so
-// that its request is not served.
-func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
-	}
-	c.requestPending = c.requestPending || n > 0
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *callerConn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	c.requestPending = false
-	c.mu.Unlock()
-	return c.Conn.Write(p)
-}
-
-// closeIdle closes the connection unless a request is pending on it. It reports whether the
-// connection is closed.
-func (c *callerConn) closeIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed || c.state == http.StateClosed {
-		return true
-	}
-	if c.requestPending || c.state != http.StateIdle && c.state != http.StateNew {
-		return false
-	}
-	c.closed = true
-	// The server then detects the closed connection and reports StateClosed.
-	_ = c.Close()
-	return true
-}
-
 // Listen opens a TCP listener that detects callers that disappeared without closing.
 func Listen(address string) (net.Listener, error) {
 	lc := net.ListenConfig{KeepAliveConfig: callerKeepAlive}
--- a/relay/acceptor/acceptor_test.go
+++ b/relay/acceptor/acceptor_test.go
@@ -32,7 +32,7 @@
 					t.Fatal(err)
 				}
 			}
-			if diff := cmp.Diff(tc.want, c.closeIdle()); diff != "" {
+			if diff := cmp.Diff(tc.want, c.closeIdle(causeIdleTimeout)); diff != "" {
 				t.Errorf("closed (-want +got):\n%s", diff)
 			}
 			if tc.want {
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -349,7 +349,7 @@
 	e.Kind = classifier.Succeeded
 	t.conclude(e, "answered", "", "status", a.Status, "bytes", len(body))
 	if err := t.reply.SendWhole(a.Status, a.Header, body); err != nil {
-		t.d.log.Info("response not delivered", "request", t.call.ID, "error", err)
+		t.d.recordNotDelivered(t.job, err)
 	}
 	t.d.meter.CallEnded(t.route.Kind, "good", t.d.clock.Now()-t.call.ArrivedAt)
 	return done, ""
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -159,6 +159,8 @@
 	UnframedEnded(end string)
 	FirstEvent(after sequoiasill.Millis)
 	CallEnded(kind sequoiasill.CallKind, end string, took sequoiasill.Millis)
+	// CallerEnded counts a call whose response was not delivered as a whole, by cause.
+	CallerEnded(cause string)
 	// RetryRequested counts a requested retry, allowed or denied.
 	RetryRequested(service string, allowed bool)
 	// UpstreamSignal counts the signals of upstreams by kind, and by whether they arrived here
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -44,6 +44,7 @@
 	denials      int       // permits denied by rate limits
 	usageCounted bool      // the call is in its organisation's usage
 	headerSent   bool      // the header of a stream was sent to the caller
+	writeFailed  bool      // part of a stream could not be written to the caller
 	events       numbering // of the events that were sent to the caller
 	fallback     *fallbackResponse
 }
@@ -353,23 +354,60 @@
 	return allowed
 }
 
+// Causes of ends without a complete response, in logs and metrics.
+const (
+	causeStreamCut    = "stream cut"
+	causeNotDelivered = "not delivered"
+	causeCallerLeft   = "caller left" // over a connection that does not tell how it ended
+)
+
+// connectionEnd returns how the caller's connection ended, as the cause of a cancelled context.
+func connectionEnd(ctx context.Context) string {
+	var e *sequoiasill.ConnectionError
+	if errors.As(context.Cause(ctx), &e) {
+		return string(e.End)
+	}
+	return causeCallerLeft
+}
+
+// cutCause returns why a stream ended before its end.
+func (j *job) cutCause(ctx context.Context) string {
+	switch {
+	case callerDisconnected(ctx):
+		return connectionEnd(ctx)
+	case j.writeFailed:
+		return causeNotDelivered
+	}
+	return causeStreamCut
+}
+
+// recordNotDelivered records that the response to a call could not be written.
+func (d *Dispatcher) recordNotDelivered(j *job, err error) {
+	d.meter.CallerEnded(causeNotDelivered)
+	d.log.Info("response not delivered", "request", j.call.ID, "cause", causeNotDelivered, "error", err)
+}
+
 // finish ends a call without a good response of an upstream.
 func (d *Dispatcher) finish(ctx context.Context, j *job, reason string) {
 	elapsed := d.clock.Now() - j.call.ArrivedAt
 	switch {
 	case j.headerSent:
 		d.meter.CallEnded(j.route.Kind, "cut", elapsed)
-		d.log.Info("stream cut", "request", j.call.ID, "reason", reason, "event", j.events.last, "after", elapsed)
+		cause := j.cutCause(ctx)
+		d.meter.CallerEnded(cause)
+		d.log.Info("stream cut", "request", j.call.ID, "reason", reason, "cause", cause, "event", j.events.last, "after", elapsed)
 		j.reply.Abort()
-	case errors.Is(context.Cause(ctx), context.Canceled):
+	case callerDisconnected(ctx):
 		d.meter.CallEnded(j.route.Kind, "left", elapsed)
-		d.log.Info("caller left", "request", j.call.ID, "after", elapsed)
+		cause := connectionEnd(ctx)
+		d.meter.CallerEnded(cause)
+		d.log.Info("caller left", "request", j.call.ID, "cause", cause, "runs", j.runs, "after", elapsed)
 		j.reply.Abort()
 	case j.fallback != nil:
 		d.meter.CallEnded(j.route.Kind, "failed", elapsed)
 		d.log.Info("answered", "request", j.call.ID, "status", j.fallback.status, "reason", reason, "after", elapsed)
 		if err := j.reply.SendWhole(j.fallback.status, j.fallback.header, j.fallback.body); err != nil {
-			d.log.Debug("response not delivered", "request", j.call.ID, "error", err)
+			d.recordNotDelivered(j, err)
 		}
 	case j.runs == 0:
 		d.refundQuota(j)
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -30,14 +30,14 @@
 	err := f.copy(ctx)
 	t.countRun(a)
 	a.Close(err == nil)
-	e := classifier.End{Kind: classifier.Truncated, CallerDisconnected: f.callerGone || callerDisconnected(ctx), EndedHere: ctx.Err() != nil, ClosedByUpstream: isClose(err)}
+	e := classifier.End{Kind: classifier.Truncated, CallerDisconnected: f.writeFailed || callerDisconnected(ctx), EndedHere: ctx.Err() != nil, ClosedByUpstream: isClose(err)}
 	switch {
 	case err == nil:
 		t.clearSuspicion()
 		t.conclude(classifier.End{Kind: classifier.Succeeded}, "streamed", "", "events", f.delivered, "first", f.timeToFirstEvent)
 		t.d.meter.CallEnded(t.route.Kind, "good", t.d.clock.Now()-t.call.ArrivedAt)
 		if err := t.reply.End(); err != nil {
-			t.d.log.Info("end of stream not delivered", "request", t.call.ID, "error", err)
+			t.d.recordNotDelivered(t.job, err)
 		}
 		return done, ""
 	case e.CallerDisconnected:
@@ -56,11 +56,10 @@
 type forwarder struct {
 	*try
 
-	response   *Response
-	timer      *attemptTimer
-	delivered  int  // events
-	joined     bool // the response follows the events of earlier ones
-	callerGone bool // a write to the caller failed
+	response  *Response
+	timer     *attemptTimer
+	delivered int  // events
+	joined    bool // the response follows the events of earlier ones
 }
 
 // copy forwards events until the stream ends, which yields nil, or fails.
@@ -78,7 +77,7 @@
 				return err
 			}
 			if werr := f.deliver(pending[:end]); werr != nil {
-				f.callerGone = true
+				f.writeFailed = true
 				return werr
 			}
 			pending = append(pending[:0], pending[end:]...)
@@ -108,7 +107,7 @@
 		return nil
 	}
 	if err := f.deliver(nil); err != nil {
-		f.callerGone = true
+		f.writeFailed = true
 		return err
 	}
 	return nil
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -55,6 +55,12 @@
 	m.time(fmt.Sprintf(`sequoia_call_seconds{kind=%q}`, kind), took)
 }
 
+// CallerEnded counts an end of a caller's request or connection without a complete response, by
+// cause.
+func (m *Meter) CallerEnded(cause string) {
+	m.count(fmt.Sprintf(`sequoia_caller_ends_total{cause=%q}`, cause))
+}
+
 // RetryRequested counts a retry of a call to a service that was requested, by whether it was
 // allowed.
 func (m *Meter) RetryRequested(service string, allowed bool) {
