A panic while a request is served is answered and logged

What callers saw: a closed connection without an answer; for a call that another entry relayed, the end of the whole process and of all its calls.

Cause: net/http recovers from a panic of its handler and closes the connection, with a line at debug level; grpc-go doesn't recover at all.

--- a/relay/acceptor/ends.go
+++ b/relay/acceptor/ends.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -25,7 +24,6 @@
 	causeStop          = string(sequoiasill.EndedByStop)
 	causeRejected      = "rejected"
 	causeNotDelivered  = "not delivered"
-	causePanic         = "panic"
 )
 
 // connKey is the key of a request's connection in its context.
@@ -48,7 +46,6 @@
 		}
 		r := c.begin(a.requestID(req))
 		defer c.end(r)
-		defer a.logPanic(r)
 		ctx, cancel := context.WithCancelCause(context.WithoutCancel(req.Context()))
 		defer cancel(nil)
 		stop := context.AfterFunc(req.Context(), func() { cancel(c.endError()) })
@@ -57,19 +54,6 @@
 	})
 }
 
-// logPanic logs a panic of the handler, after which the server closes the connection.
-func (a *Acceptor) logPanic(r *request) {
-	v := recover()
-	if v == nil {
-		return
-	}
-	if err, ok := v.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-		a.meter.CallerEnded(causePanic)
-		a.log.Error("panic while serving a request", "request", r.id, "panic", v, "stack", string(debug.Stack()))
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // begin records that the handler serves a request.
 func (c *callerConn) begin(id string) *request {
 	c.mu.Lock()
--- a/relay/relayer/relayer_test.go
+++ b/relay/relayer/relayer_test.go
@@ -119,6 +119,14 @@
 			reply.SetCounts(2, 3)
 			reply.Refuse(sequoiasill.NewFailure(sequoiasill.MayHaveRun, sequoiasill.CodeUpstreamFailed, 502, "lost"))
 		}, runs: 2, arrivals: 3, verdict: sequoiasill.MayHaveRun, code: sequoiasill.CodeUpstreamFailed, failed: true},
+		"a call that panics": {serve: func(context.Context, *sequoiasill.Call, int, dispatcher.RelayWriter) {
+			panic("out of range")
+		}, runs: 2, verdict: sequoiasill.MayHaveRun, code: sequoiasill.CodeOutcomeUnknown, failed: true},
+		"a stream that panics": {serve: func(_ context.Context, _ *sequoiasill.Call, _ int, reply dispatcher.RelayWriter) {
+			_ = reply.Begin(200, http.Header{"Signature": {"s"}})
+			reply.SetCounts(2, 1)
+			panic("out of range")
+		}, bodyErr: io.ErrUnexpectedEOF, runs: 2},
 		"a call without a response": {serve: func(_ context.Context, _ *sequoiasill.Call, _ int, reply dispatcher.RelayWriter) {
 			reply.Abort()
 		}, verdict: sequoiasill.MayHaveRun, failed: true},
--- a/relay/relayer/server.go
+++ b/relay/relayer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"time"
 
@@ -94,7 +95,7 @@
 			"call came %s after its offer was accepted", now-acceptedAt), int(call.GetRuns()), 0))
 	}
 	w := &writer{stream: stream}
-	s.dispatcher.ServeRelayed(stream.Context(), decodeCall(call, now), int(call.GetRuns()), w)
+	s.serve(stream.Context(), call, now, w)
 	if w.aborted {
 		stream.SetTrailer(metadata.Pairs(runsTrailer, strconv.Itoa(w.runs)))
 		return status.Error(codes.Aborted, "response broke off")
@@ -102,6 +103,25 @@
 	return nil
 }
 
+// serve serves a call. A panic, which gRPC would let end the process, is reported as a failure of a
+// call that may have run.
+func (s *Server) serve(ctx context.Context, call *relaypb.Call, now sequoiasill.Millis, w *writer) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		s.log.Error("panic while serving a request", "request", call.GetId(), "cause", "panic", "panic", v, "stack", string(debug.Stack()))
+		if w.started {
+			w.Abort()
+			return
+		}
+		w.SetCounts(max(w.runs, int(call.GetRuns())+1), w.arrivals)
+		w.Refuse(sequoiasill.NewFailure(sequoiasill.MayHaveRun, sequoiasill.CodeOutcomeUnknown, http.StatusBadGateway, "failed while serving the request"))
+	}()
+	s.dispatcher.ServeRelayed(ctx, decodeCall(call, now), int(call.GetRuns()), w)
+}
+
 // maxDataBytes bounds the size of a message with a part of a body.
 const maxDataBytes = 256 << 10
 
@@ -109,6 +129,7 @@
 type writer struct {
 	stream  relaypb.Relay_ServeServer
 	aborted bool
+	started bool // part of the response may have been sent
 	runs    int
 	// arrivals is the number of upstreams that received the call from this entry.
 	arrivals int
@@ -118,6 +139,7 @@
 func (w *writer) SetCounts(runs, arrivals int) { w.runs, w.arrivals = runs, arrivals }
 
 func (w *writer) sendHead(code int, header http.Header, events bool) error {
+	w.started = true
 	return w.stream.Send(&relaypb.ServeResponse{Part: &relaypb.ServeResponse_Head{Head: &relaypb.Head{Status: int32(code), Header: encodeHeader(header), EventStream: events, Runs: int32(w.runs)}}})
 }
 
@@ -134,6 +156,7 @@
 
 // Refuse implements dispatcher.ResponseWriter.
 func (w *writer) Refuse(f *sequoiasill.Failure) {
+	w.started = true
 	if err := w.stream.Send(encodeRefusal(f, w.runs, w.arrivals)); err != nil {
 		w.aborted = true
 	}
