Connections are closed for want of a request only if nothing has arrived

What callers saw: neither an answer nor a refusal to a whole request that they sent on a kept connection about when its idle timeout ended, or when the entry began to drain.

Cause: a timer (or the drain) closed the connection while a Read of it was in progress. Read then dropped bytes that the process had read already, and what lay in the socket's buffer of a late process was never looked at. Besides, the start of a pipelined request that came with the one before counted for nothing.

A connection now ends for want of a request only in its own Read: a read deadline wakes it, and it ends if the time is over, nothing was read and a last look at the socket finds nothing. A drain wakes the reads that wait. The server's timeout for headers is kept there too, as net/http's closes by itself; net/http sets no deadline any more but that which ends its background read. While an entry drains, a connection that was just opened has 250 ms for its first request; other idle connections close at once, as before.

That data is discarded after the decision to close is no longer so: there is no decision while data may be read.

--- a/relay/acceptor/acceptor.go
+++ b/relay/acceptor/acceptor.go
@@ -5,9 +5,12 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -23,6 +26,9 @@
 	headerSlack = 4 << 10
 	// maxIdle limits the idle timeout of a connection, whatever the configuration sets.
 	maxIdle = 5 * sequoiasill.Minute
+	// firstRequestWait is how long a connection that was just opened is kept for its first request
+	// while the entry drains. Callers send it as soon as they are connected.
+	firstRequestWait = 250 * sequoiasill.Millis(1)
 	// idleCloseInterval is the interval at which idle connections are closed during a
 	// shutdown.
 	idleCloseInterval = 20 * time.Millisecond
@@ -32,8 +38,7 @@
 var callerKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
 // Acceptor is the HTTP server for callers. It never closes a connection as idle on which part
-// of a request was read, whereas net/http reports a connection as idle until it has read a
-// complete header.
+// of a request was read or has arrived.
 type Acceptor struct {
 	server      *http.Server
 	listener    net.Listener
@@ -42,9 +47,10 @@
 	meter       Meter
 	log         hclog.Logger
 
-	mu       sync.Mutex
-	conns    map[*callerConn]bool
-	draining bool
+	draining atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*callerConn]bool
 }
 
 // Meter counts the ends of callers' connections and requests without a complete response.
@@ -56,17 +62,15 @@
 // connection, and requestID the ID by which a request is logged.
 func New(l net.Listener, h http.Handler, idleTimeout func() sequoiasill.Millis, requestID func(*http.Request) string, m Meter, log hclog.Logger) *Acceptor {
 	a := &Acceptor{listener: l, idleTimeout: idleTimeout, requestID: requestID, meter: m, log: log.Named("acceptor"), conns: make(map[*callerConn]bool)}
+	// The connections have the timeouts of the server.
 	a.server = &http.Server{
-		Handler: a.trackRequests(a.closeWhenDraining(h)), ReadHeaderTimeout: defaultHeaderTimeout.Duration(), IdleTimeout: maxIdle.Duration(),
-		MaxHeaderBytes: defaultHeaderBytes + headerSlack, ConnState: a.trackState,
+		Handler: a.trackRequests(a.closeWhenDraining(h)), MaxHeaderBytes: defaultHeaderBytes + headerSlack, ConnState: a.trackState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ErrorLog:    a.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
 	}
 	go func() {
 		err := a.server.Serve(&callerListener{Listener: l, acceptor: a})
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if !a.draining {
+		if !a.isDraining() {
 			a.log.Error("serving callers ended", "error", err)
 		}
 	}()
@@ -84,36 +88,14 @@
 	})
 }
 
-func (a *Acceptor) isDraining() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.draining
-}
+func (a *Acceptor) isDraining() bool { return a.draining.Load() }
 
 func (a *Acceptor) trackState(c net.Conn, s http.ConnState) {
 	k, ok := c.(*callerConn)
 	if !ok {
 		return
 	}
-	k.mu.Lock()
-	before := k.state
-	k.state = s
-	if s == http.StateActive {
-		k.request = nil
-	}
-	if k.timer != nil {
-		k.timer.Stop()
-		k.timer = nil
-	}
-	if s == http.StateIdle {
-		k.timer = time.AfterFunc(a.idleTimeout().Duration(), func() { k.closeIdle(causeIdleTimeout) })
-		k.bytes = 0
-	}
-	k.mu.Unlock()
-	if s == http.StateIdle && a.isDraining() {
-		// The response started before the draining did, so it had no Connection: close.
-		k.closeIdle(causeStop)
-	}
+	before := k.setState(s)
 	if s == http.StateClosed || s == http.StateHijacked {
 		a.recordEnd(k, before)
 		a.mu.Lock()
@@ -122,33 +104,28 @@
 	}
 }
 
+// idleLimit returns the idle timeout of a connection.
+func (a *Acceptor) idleLimit() sequoiasill.Millis { return min(a.idleTimeout(), maxIdle) }
+
 // Drain starts to drain the entry: it accepts no new connections, closes the idle ones
 // and makes each response the last one on its connection.
 func (a *Acceptor) Drain() {
-	a.mu.Lock()
-	a.draining = true
-	a.mu.Unlock()
+	a.draining.Store(true)
 	if err := a.listener.Close(); err != nil {
 		a.log.Warn("listener not closed", "error", err)
 	}
 	a.closeIdle()
 }
 
-// closeIdle closes the idle connections and returns the number of the remaining ones.
+// closeIdle lets the idle connections of a draining entry close, and returns the number of open ones.
 func (a *Acceptor) closeIdle() int {
 	a.mu.Lock()
-	conns := make([]*callerConn, 0, len(a.conns))
-	for k := range a.conns {
-		conns = append(conns, k)
-	}
+	conns := slices.Collect(maps.Keys(a.conns))
 	a.mu.Unlock()
-	open := 0
 	for _, k := range conns {
-		if !k.closeIdle(causeStop) {
-			open++
-		}
+		k.wake()
 	}
-	return open
+	return len(conns)
 }
 
 // Shutdown waits for the requests in progress, at most for timeout, and closes the server.
@@ -180,7 +157,8 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &callerConn{Conn: c, acceptedAt: time.Now()}
+	now := time.Now()
+	k := &callerConn{Conn: c, acceptor: l.acceptor, acceptedAt: now, waitSince: now}
 	l.acceptor.mu.Lock()
 	l.acceptor.conns[k] = true
 	l.acceptor.mu.Unlock()
--- a/relay/acceptor/conn.go
+++ b/relay/acceptor/conn.go
@@ -3,67 +3,133 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/juju/errors"
 )
 
-// callerConn is a caller's connection that tracks whether a request is pending on it, and how it
-// ends.
+// callerConn is a caller's connection. It is closed for want of a request only by its own Read, and
+// only if nothing has arrived: bytes that were read always reach the server.
 type callerConn struct {
 	net.Conn
 
+	acceptor   *Acceptor
 	acceptedAt time.Time
 
-	mu             sync.Mutex
-	state          http.ConnState
-	requestPending bool // bytes were read since the last write
-	closed         bool
-	timer          *time.Timer // set while the connection is idle
-	bytes          int         // read since the last response
-	request        *request    // the last one that reached the handler; nil before the first
-	cause          string      // why this process closed the connection; empty if it did not
-	rejection      int         // status with which net/http rejected a request itself, 0 for none
-	readErr        error       // that ended the reading
-	writeErr       error       // that ended the writing
+	mu          sync.Mutex
+	state       http.ConnState
+	waitSince   time.Time // when the connection was accepted, or its last response ended
+	headerSince time.Time // when part of the pending request was first read; zero if none was
+	bufferSize  int       // of the server's empty read buffer, 0 until the first read
+	bytes       int       // read since the last response
+	request     *request  // in the handler or the last one there; nil while a header is read
+	cause       string    // why this process closed the connection; empty if it did not
+	rejection   int       // status with which net/http rejected a request itself, 0 for none
+	readErr     error     // that ended the reading
+	writeErr    error     // that ended the writing
 }
 
-// Read implements net.Conn. Data that arrives after the decision to close is discarded, so
-// that its request is not served.
+// Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	for {
+		waits := c.startWait(len(p))
+		n, err := c.Conn.Read(p)
+		if waits && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			var ended bool
+			if n, ended, err = c.endWait(p); !ended {
+				continue
+			}
+		}
+		c.recordRead(n, err)
+		return n, err
+	}
+}
+
+// startWait limits the next read if the server waits for a request or for the rest of a header, and
+// reports whether it does. Size is that of the free part of the server's buffer: a part in use holds
+// bytes of the next request.
+func (c *callerConn) startWait(size int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
+	if !c.waits() {
+		return false
 	}
-	c.requestPending = c.requestPending || n > 0
-	c.recordRead(n, err)
-	return n, err
+	c.bufferSize = max(c.bufferSize, size)
+	if c.headerSince.IsZero() && size < c.bufferSize {
+		c.headerSince = time.Now()
+	}
+	end, _ := c.waitEnd()
+	_ = c.SetReadDeadline(end)
+	return true
 }
 
-// Write implements net.Conn.
-func (c *callerConn) Write(p []byte) (int, error) {
+// waits reports whether no complete header of a request was read yet. Only the goroutine that serves the
+// connection reads then. The caller holds the lock.
+func (c *callerConn) waits() bool { return c.state == http.StateNew || c.state == http.StateIdle }
+
+// waitEnd returns until when the connection is kept without a complete header, and the cause of its end
+// then. The caller holds the lock.
+func (c *callerConn) waitEnd() (time.Time, string) {
+	isNew := c.state == http.StateNew
+	switch {
+	case !c.headerSince.IsZero():
+		return c.headerSince.Add(defaultHeaderTimeout.Duration()), causeHeaderTimeout
+	case c.acceptor.isDraining() && isNew:
+		return c.waitSince.Add(firstRequestWait.Duration()), causeStop
+	case c.acceptor.isDraining():
+		return c.waitSince, causeStop
+	case isNew:
+		return c.waitSince.Add(max(c.acceptor.idleLimit(), defaultHeaderTimeout).Duration()), causeIdleTimeout
+	}
+	return c.waitSince.Add(c.acceptor.idleLimit().Duration()), causeIdleTimeout
+}
+
+// endWait reads what has arrived if the time to wait is over, and reports whether it is: the time may have
+// ended while this process did not run, and a request have arrived meanwhile.
+func (c *callerConn) endWait(p []byte) (n int, ended bool, err error) {
 	c.mu.Lock()
-	c.requestPending = false
-	c.mu.Unlock()
-	n, err := c.Conn.Write(p)
-	c.recordWrite(p, err)
-	return n, err
+	defer c.mu.Unlock()
+	end, cause := c.waitEnd()
+	if time.Now().Before(end) {
+		return 0, false, nil
+	}
+	n, err = readArrived(c.Conn, p)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.cause = cause
+	}
+	return n, true, err
 }
 
-// closeIdle closes the connection unless a request is pending on it. It reports whether the
-// connection is closed.
-func (c *callerConn) closeIdle(cause string) bool {
+// wake lets a read that waits for a request look again how long it may.
+func (c *callerConn) wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.state == http.StateClosed {
-		return true
+	if c.waits() {
+		_ = c.SetReadDeadline(time.Now())
 	}
-	if c.requestPending || c.state != http.StateIdle && c.state != http.StateNew {
-		return false
+}
+
+// setState records what the server does with the connection, and returns the state before.
+func (c *callerConn) setState(s http.ConnState) http.ConnState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.state
+	c.state = s
+	switch s {
+	case http.StateActive:
+		c.request = nil
+		_ = c.SetReadDeadline(time.Time{})
+	case http.StateIdle:
+		c.waitSince, c.headerSince, c.bytes = time.Now(), time.Time{}, 0
 	}
-	c.closed, c.cause = true, cause
-	// The server then detects the closed connection and reports StateClosed.
-	_ = c.Close()
-	return true
+	return before
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.recordWrite(p, err)
+	return n, err
 }
--- a/relay/acceptor/ends.go
+++ b/relay/acceptor/ends.go
@@ -69,15 +69,16 @@
 	r.failed = c.writeErr != nil
 }
 
-// recordRead records bytes that were read, and the end of the reading. The caller holds the lock.
+// recordRead records bytes that were read, and the end of the reading.
 func (c *callerConn) recordRead(n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.bytes += n
-	switch {
-	case err == nil || c.readErr != nil:
-	case !errors.Is(err, os.ErrDeadlineExceeded):
+	if n > 0 && c.waits() && c.headerSince.IsZero() {
+		c.headerSince = time.Now()
+	}
+	if err != nil && c.readErr == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.readErr = err
-	case c.state != http.StateActive && c.cause == "":
-		c.cause = causeHeaderTimeout
 	}
 }
 
