Callers' header limits follow the configuration

What callers saw: requests within the configured limits were rejected with 431 (headers of more than 20 KB) or ended without an answer (headers that took more than 3 s, or connections opened more than 3 s before their first byte).

Cause: the server had a constant header timeout and size; the configuration's were decoded and never used. Besides, net/http counted the time of the first request from the accept of its connection.

The acceptor reads the limits in force whenever it has to decide: the header timeout runs from the first byte that was read, plus one second for the transit, a connection without a request is kept for the larger of both timeouts. What a connection may cost stays bounded by a minute and 1 MiB.

TestIdleConnectionsFollowConfiguration guards what changed: an idle connection lives by the larger of the limits at the start of its idleness and at its end.

--- a/relay/acceptor/acceptor.go
+++ b/relay/acceptor/acceptor.go
@@ -20,12 +20,16 @@
 )
 
 const (
+	// maxHeaderBytes, maxHeaderTimeout and maxIdle bound what a connection may cost, whatever the
+	// configuration sets.
+	maxHeaderBytes   = http.DefaultMaxHeaderBytes
+	maxHeaderTimeout = sequoiasill.Minute
+	maxIdle          = 5 * sequoiasill.Minute
+	// defaultHeaderTimeout applies without a configured one.
 	defaultHeaderTimeout = 3 * sequoiasill.Second
-	defaultHeaderBytes   = 16 << 10
-	// headerSlack allows for the request line and the framing of the header, in bytes.
-	headerSlack = 4 << 10
-	// maxIdle limits the idle timeout of a connection, whatever the configuration sets.
-	maxIdle = 5 * sequoiasill.Minute
+	// transitAllowance is added to the configured time for a header, which starts at the caller: lost
+	// segments are sent again within it.
+	transitAllowance = sequoiasill.Second
 	// firstRequestWait is how long a connection that was just opened is kept for its first request
 	// while the entry drains. Callers send it as soon as they are connected.
 	firstRequestWait = 250 * sequoiasill.Millis(1)
@@ -40,12 +44,12 @@
 // Acceptor is the HTTP server for callers. It never closes a connection as idle on which part
 // of a request was read or has arrived.
 type Acceptor struct {
-	server      *http.Server
-	listener    net.Listener
-	idleTimeout func() sequoiasill.Millis
-	requestID   func(*http.Request) string
-	meter       Meter
-	log         hclog.Logger
+	server    *http.Server
+	listener  net.Listener
+	limits    func() sequoiasill.CallerLimits
+	requestID func(*http.Request) string
+	meter     Meter
+	log       hclog.Logger
 
 	draining atomic.Bool
 
@@ -58,13 +62,13 @@
 	CallerEnded(cause string)
 }
 
-// New serves callers on l until Shutdown. idleTimeout returns the configured idle timeout of a
-// connection, and requestID the ID by which a request is logged.
-func New(l net.Listener, h http.Handler, idleTimeout func() sequoiasill.Millis, requestID func(*http.Request) string, m Meter, log hclog.Logger) *Acceptor {
-	a := &Acceptor{listener: l, idleTimeout: idleTimeout, requestID: requestID, meter: m, log: log.Named("acceptor"), conns: make(map[*callerConn]bool)}
+// New serves callers on l until Shutdown. limits returns the configured limits, of which the acceptor
+// applies the timeouts, and requestID the ID by which a request is logged.
+func New(l net.Listener, h http.Handler, limits func() sequoiasill.CallerLimits, requestID func(*http.Request) string, m Meter, log hclog.Logger) *Acceptor {
+	a := &Acceptor{listener: l, limits: limits, requestID: requestID, meter: m, log: log.Named("acceptor"), conns: make(map[*callerConn]bool)}
 	// The connections have the timeouts of the server.
 	a.server = &http.Server{
-		Handler: a.trackRequests(a.closeWhenDraining(h)), MaxHeaderBytes: defaultHeaderBytes + headerSlack, ConnState: a.trackState,
+		Handler: a.trackRequests(a.closeWhenDraining(h)), MaxHeaderBytes: maxHeaderBytes, ConnState: a.trackState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ErrorLog:    a.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
 	}
@@ -104,8 +108,16 @@
 	}
 }
 
-// idleLimit returns the idle timeout of a connection.
-func (a *Acceptor) idleLimit() sequoiasill.Millis { return min(a.idleTimeout(), maxIdle) }
+// currentLimits returns the limits that apply to connections now.
+func (a *Acceptor) currentLimits() sequoiasill.CallerLimits {
+	l := a.limits()
+	l.IdleTimeout = min(l.IdleTimeout, maxIdle)
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = defaultHeaderTimeout
+	}
+	l.HeaderTimeout = min(l.HeaderTimeout, maxHeaderTimeout) + transitAllowance
+	return l
+}
 
 // Drain starts to drain the entry: it accepts no new connections, closes the idle ones
 // and makes each response the last one on its connection.
--- a/relay/acceptor/conn.go
+++ b/relay/acceptor/conn.go
@@ -72,18 +72,18 @@
 // waitEnd returns until when the connection is kept without a complete header, and the cause of its end
 // then. The caller holds the lock.
 func (c *callerConn) waitEnd() (time.Time, string) {
-	isNew := c.state == http.StateNew
+	limits, isNew := c.acceptor.currentLimits(), c.state == http.StateNew
 	switch {
 	case !c.headerSince.IsZero():
-		return c.headerSince.Add(defaultHeaderTimeout.Duration()), causeHeaderTimeout
+		return c.headerSince.Add(limits.HeaderTimeout.Duration()), causeHeaderTimeout
 	case c.acceptor.isDraining() && isNew:
 		return c.waitSince.Add(firstRequestWait.Duration()), causeStop
 	case c.acceptor.isDraining():
 		return c.waitSince, causeStop
 	case isNew:
-		return c.waitSince.Add(max(c.acceptor.idleLimit(), defaultHeaderTimeout).Duration()), causeIdleTimeout
+		return c.waitSince.Add(max(limits.IdleTimeout, limits.HeaderTimeout).Duration()), causeIdleTimeout
 	}
-	return c.waitSince.Add(c.acceptor.idleLimit().Duration()), causeIdleTimeout
+	return c.waitSince.Add(limits.IdleTimeout.Duration()), causeIdleTimeout
 }
 
 // endWait reads what has arrived if the time to wait is over, and reports whether it is: the time may have
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -277,6 +277,14 @@
 // Traffic returns the current traffic rules, or nil if there are none.
 func (d *Dispatcher) Traffic() *sequoiasill.Traffic { return d.traffic.Load() }
 
+// CallerLimits returns the configured limits of callers, which are 0 where none is configured.
+func (d *Dispatcher) CallerLimits() sequoiasill.CallerLimits {
+	if t := d.traffic.Load(); t != nil {
+		return t.Limits
+	}
+	return sequoiasill.CallerLimits{}
+}
+
 // WithRegistrar calls f with the registrar of upstreams while it holds the dispatcher's lock.
 func (d *Dispatcher) WithRegistrar(f func(r *registrar.Registrar)) {
 	d.mu.Lock()
