A header that takes too long is answered with 408 and nothing is read after it

What callers saw: a 400, which they don't retry, or no answer at all when their header took longer than the configured time.

Cause: when a read fails inside a line, bufio gives net/http the part of the line as a whole one. The server then parses half a request, or reads on: bytes that arrive after the timeout would be taken for the next line of the header.

The end of the wait is now final for the connection, and the acceptor answers with 408 (not run) in place of the server's response.

--- a/relay/acceptor/conn.go
+++ b/relay/acceptor/conn.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -8,6 +9,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"sequoiasill.dev/sequoiasill"
 )
 
 // callerConn is a caller's connection. It is closed for want of a request only by its own Read, and
@@ -34,13 +37,19 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
-		waits := c.startWait(len(p))
+		waits, err := c.startWait(len(p))
+		if err != nil {
+			return 0, err
+		}
 		n, err := c.Conn.Read(p)
 		if waits && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 			var ended bool
 			if n, ended, err = c.endWait(p); !ended {
 				continue
 			}
+			if err != nil {
+				c.rejectSlow()
+			}
 		}
 		c.recordRead(n, err)
 		return n, err
@@ -49,12 +58,16 @@
 
 // startWait limits the next read if the server waits for a request or for the rest of a header, and
 // reports whether it does. Size is that of the free part of the server's buffer: a part in use holds
-// bytes of the next request.
-func (c *callerConn) startWait(size int) bool {
+// bytes of the next request. No read follows one that ended the wait, as the server takes what it has
+// for a whole line of the header then.
+func (c *callerConn) startWait(size int) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.waits() {
-		return false
+		return false, nil
+	}
+	if c.cause != "" {
+		return true, os.ErrDeadlineExceeded
 	}
 	c.bufferSize = max(c.bufferSize, size)
 	if c.headerSince.IsZero() && size < c.bufferSize {
@@ -62,7 +75,7 @@
 	}
 	end, _ := c.waitEnd()
 	_ = c.SetReadDeadline(end)
-	return true
+	return true, nil
 }
 
 // waits reports whether no complete header of a request was read yet. Only the goroutine that serves the
@@ -102,6 +115,23 @@
 	return n, true, err
 }
 
+// headerTimeoutResponse tells the caller of a slow request that it was not run.
+const headerTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// rejectTimeout bounds the time to write it to a caller that does not read.
+const rejectTimeout = sequoiasill.Second
+
+// rejectSlow responds to a request whose header came too slowly. net/http would end it with a 400 or
+// without a response.
+func (c *callerConn) rejectSlow() {
+	if !c.isRejected() {
+		return
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(rejectTimeout.Duration()))
+	_, err := io.WriteString(c.Conn, headerTimeoutResponse)
+	c.recordWrite(nil, err)
+}
+
 // wake lets a read that waits for a request look again how long it may.
 func (c *callerConn) wake() {
 	c.mu.Lock()
@@ -129,7 +159,18 @@
 
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
+	if c.isRejected() {
+		return len(p), nil
+	}
 	n, err := c.Conn.Write(p)
 	c.recordWrite(p, err)
 	return n, err
 }
+
+// isRejected reports whether the header of a request came too slowly, so that the server's response is
+// replaced.
+func (c *callerConn) isRejected() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cause == causeHeaderTimeout
+}
--- a/relay/acceptor/ends.go
+++ b/relay/acceptor/ends.go
@@ -170,14 +170,14 @@
 func (c *callerConn) endCause(state http.ConnState) string {
 	inHandler := state == http.StateActive && c.request != nil
 	switch {
-	case c.rejection != 0 && c.readErr == nil: // net/http also rejects what breaks off
-		return causeRejected
 	case inHandler && !c.request.failed && c.writeErr != nil:
 		return causeNotDelivered
 	case inHandler:
 		return ""
 	case c.cause != "":
 		return c.cause
+	case c.rejection != 0 && c.readErr == nil: // net/http also rejects what breaks off
+		return causeRejected
 	case c.bytes > 0:
 		return string(c.howEnded())
 	}
--- a/relay/acceptor/idle_test.go
+++ b/relay/acceptor/idle_test.go
@@ -286,3 +286,48 @@
 		})
 	}
 }
+
+// lateRestConn delivers the rest of a header when the time for it is over.
+type lateRestConn struct {
+	*lateConn
+
+	parts []string // an empty one is a timeout
+}
+
+func (c *lateRestConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.parts) == 0 {
+		return 0, io.EOF
+	}
+	part := c.parts[0]
+	c.parts = c.parts[1:]
+	if part != "" {
+		return copy(p, part), nil
+	}
+	for !c.closed && time.Now().Before(c.deadline) {
+		c.woken.Wait()
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
+// Guards against requests that net/http reads from the halves of a line before and after a timeout.
+func TestNothingIsReadAfterHeaderTimeout(t *testing.T) {
+	const start = "GET / HTTP/1.1\r\nHost: kiosk.exa"
+	l := &pipeListener{conns: make(chan net.Conn, 1)}
+	c := &lateRestConn{lateConn: newLateConn(0), parts: []string{start, "", "", getRequest[len(start):]}}
+	l.conns <- c
+	var served atomic.Int64
+	serveLimited(t, l, func() sequoiasill.CallerLimits { return sequoiasill.CallerLimits{HeaderTimeout: 1} }, func(http.ResponseWriter, *http.Request) { served.Add(1) })
+	await(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.closed
+	})
+	if diff := cmp.Diff(int64(0), served.Load()); diff != "" {
+		t.Errorf("requests served (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(true, strings.HasPrefix(c.written.String(), "HTTP/1.1 408 ")); diff != "" {
+		t.Errorf("answered with 408 (-want +got):\n%s%s", diff, c.written.String())
+	}
+}
