A caller that ends only its sending side gets an answer

What callers saw: a whole request and an orderly end of the sending side (or of the connection) after it got neither an answer nor a refusal; a call that may run only once was cancelled at its upstream and its result lost.

Cause: net/http cancels a request's context at any end of the reading side, and the dispatcher took every cancellation for a caller that left.

A call that runs once and is at an upstream or at another entry now goes on after an orderly end, until its response or its deadline, and is answered; one that is at none is not sent any more and refused (503, not run). Idempotent calls and streams are cancelled as before, as upstreams must not work for callers that left, but the caller is told (502 or 503) unless a stream had begun. A reset still cancels everything.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -130,7 +130,7 @@
 	}
 	t.d.mu.Lock()
 	defer t.d.mu.Unlock()
-	t.withheld = !t.d.registrar.MaySend(t.d.clock.Now(), t.choice.Replica, t.permit != nil)
+	t.withheld = !t.d.registrar.MaySend(t.d.clock.Now(), t.choice.Replica, t.permit != nil) || !t.d.passOn(t.job)
 	if !t.withheld {
 		t.markSent()
 		t.d.paths.RequestSent(t.service)
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -100,9 +100,10 @@
 	call := *j.call
 	call.LastEvent = j.events.last
 	call.Deadline = j.deadline
-	d.mu.Lock()
-	send := d.rationer.Sent(t.started, j.retryBudget, peer.Name)
-	d.mu.Unlock()
+	send, ok := d.countRelay(t, peer)
+	if !ok {
+		return stop, "caller left"
+	}
 	timer := newAttemptTimer(t)
 	defer timer.stop()
 	response, err := d.relays.Send(attemptCtx, peer, RelayedCall{Call: &call, Service: j.service, TrafficVersion: j.trafficVersion, Runs: j.runs})
@@ -122,6 +123,17 @@
 	return t.handleResponse(attemptCtx, response, timer)
 }
 
+// countRelay counts a call towards the retry budget as it is offered to another entry, unless its caller
+// has left.
+func (d *Dispatcher) countRelay(t *try, peer peerpicker.Peer) (*rationer.Send, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.passOn(t.job) {
+		return nil, false
+	}
+	return d.rationer.Sent(t.started, t.retryBudget, peer.Name), true
+}
+
 // handleRelayRefusal concludes an attempt that the other entry refused. What it refused for lack of
 // an upstream may go to another entry.
 func (t *try) handleRelayRefusal(ctx context.Context, refusal *RefusalError) (nextStep, string) {
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -6,7 +6,6 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/juju/errors"
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
@@ -47,6 +46,11 @@
 	writeFailed  bool      // part of a stream could not be written to the caller
 	events       numbering // of the events that were sent to the caller
 	fallback     *fallbackResponse
+
+	// For calls that run only once:
+	caller     context.Context // ends when the caller leaves
+	cancelCall context.CancelCauseFunc
+	passedOn   bool // an upstream or another entry has the call; guarded by the dispatcher's lock
 }
 
 // fallbackResponse is a complete error response that is delivered if no attempt yields a
@@ -74,7 +78,7 @@
 		d.refuse(call, j.reply, failure)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, (j.deadline - d.clock.Now()).Duration())
+	ctx, cancel := d.callContext(ctx, j)
 	defer cancel()
 	d.run(ctx, j)
 }
@@ -204,6 +208,7 @@
 		} else {
 			n, reason = d.attempt(ctx, j, p)
 		}
+		d.attemptEnded(j)
 		switch {
 		case n == done:
 			return
@@ -361,15 +366,6 @@
 	causeCallerLeft   = "caller left" // over a connection that does not tell how it ended
 )
 
-// connectionEnd returns how the caller's connection ended, as the cause of a cancelled context.
-func connectionEnd(ctx context.Context) string {
-	var e *sequoiasill.ConnectionError
-	if errors.As(context.Cause(ctx), &e) {
-		return string(e.End)
-	}
-	return causeCallerLeft
-}
-
 // cutCause returns why a stream ended before its end.
 func (j *job) cutCause(ctx context.Context) string {
 	switch {
@@ -398,11 +394,7 @@
 		d.log.Info("stream cut", "request", j.call.ID, "reason", reason, "cause", cause, "event", j.events.last, "after", elapsed)
 		j.reply.Abort()
 	case callerDisconnected(ctx):
-		d.meter.CallEnded(j.route.Kind, "left", elapsed)
-		cause := connectionEnd(ctx)
-		d.meter.CallerEnded(cause)
-		d.log.Info("caller left", "request", j.call.ID, "cause", cause, "runs", j.runs, "after", elapsed)
-		j.reply.Abort()
+		d.finishLeft(ctx, j, elapsed)
 	case j.fallback != nil:
 		d.meter.CallEnded(j.route.Kind, "failed", elapsed)
 		d.log.Info("answered", "request", j.call.ID, "status", j.fallback.status, "reason", reason, "after", elapsed)
