--- a/relay/acceptor/idle_test.go
+++ b/relay/acceptor/idle_test.go
@@ -164,6 +164,7 @@
 	if err != nil {
 		return nil, err
 	}
+	readBytes.Delete(c.RemoteAddr().String())
 	return &slowConn{TCPConn: c.(*net.TCPConn), late: l.late}, nil
 }
 
