--- a/relay/acceptor/acceptor.go
+++ b/relay/acceptor/acceptor.go
@@ -5,9 +5,12 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,12 +20,19 @@
 )
 
 const (
+	// maxHeaderBytes, maxHeaderTimeout and maxIdle bound what a connection may cost, whatever the
+	// configuration sets.
+	maxHeaderBytes   = http.DefaultMaxHeaderBytes
+	maxHeaderTimeout = sequoiasill.Minute
+	maxIdle          = 5 * sequoiasill.Minute
+	// defaultHeaderTimeout applies without a configured one.
 	defaultHeaderTimeout = 3 * sequoiasill.Second
-	defaultHeaderBytes   = 16 << 10
-	// headerSlack allows for the request line and the framing of the header, in bytes.
-	headerSlack = 4 << 10
-	// maxIdle limits the idle timeout of a connection, whatever the configuration sets.
-	maxIdle = 5 * sequoiasill.Minute
+	// transitAllowance is added to the configured time for a header, which starts at the caller: lost
+	// segments are sent again within it.
+	transitAllowance = sequoiasill.Second
+	// firstRequestWait is how long a connection that was just opened is kept for its first request
+	// while the entry drains. Callers send it as soon as they are connected.
+	firstRequestWait = 250 * sequoiasill.Millis(1)
 	// idleCloseInterval is the interval at which idle connections are closed during a
 	// shutdown.
 	idleCloseInterval = 20 * time.Millisecond
@@ -32,33 +42,39 @@
 var callerKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
 // Acceptor is the HTTP server for callers. It never closes a connection as idle on which part
-// of a request was read, whereas net/http reports a connection as idle until it has read a
-// complete header.
+// of a request was read or has arrived.
 type Acceptor struct {
-	server      *http.Server
-	listener    net.Listener
-	idleTimeout func() sequoiasill.Millis
-	log         hclog.Logger
-
-	mu       sync.Mutex
-	conns    map[*callerConn]bool
-	draining bool
+	server    *http.Server
+	listener  net.Listener
+	limits    func() sequoiasill.CallerLimits
+	requestID func(*http.Request) string
+	meter     Meter
+	log       hclog.Logger
+
+	draining atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*callerConn]bool
+}
+
+// Meter counts the ends of callers' connections and requests without a complete response.
+type Meter interface {
+	CallerEnded(cause string)
 }
 
-// New serves callers on l until Shutdown. idleTimeout returns the configured idle timeout of a
-// connection.
-func New(l net.Listener, h http.Handler, idleTimeout func() sequoiasill.Millis, log hclog.Logger) *Acceptor {
-	a := &Acceptor{listener: l, idleTimeout: idleTimeout, log: log.Named("acceptor"), conns: make(map[*callerConn]bool)}
+// New serves callers on l until Shutdown. limits returns the configured limits, of which the acceptor
+// applies the timeouts, and requestID the ID by which a request is logged.
+func New(l net.Listener, h http.Handler, limits func() sequoiasill.CallerLimits, requestID func(*http.Request) string, m Meter, log hclog.Logger) *Acceptor {
+	a := &Acceptor{listener: l, limits: limits, requestID: requestID, meter: m, log: log.Named("acceptor"), conns: make(map[*callerConn]bool)}
+	// The connections have the timeouts of the server.
 	a.server = &http.Server{
-		Handler: a.closeWhenDraining(h), ReadHeaderTimeout: defaultHeaderTimeout.Duration(), IdleTimeout: maxIdle.Duration(),
-		MaxHeaderBytes: defaultHeaderBytes + headerSlack, ConnState: a.trackState,
-		ErrorLog: log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		Handler: a.trackRequests(a.closeWhenDraining(h)), MaxHeaderBytes: maxHeaderBytes, ConnState: a.trackState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ErrorLog:    a.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
 	}
 	go func() {
 		err := a.server.Serve(&callerListener{Listener: l, acceptor: a})
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if !a.draining {
+		if !a.isDraining() {
 			a.log.Error("serving callers ended", "error", err)
 		}
 	}()
@@ -76,65 +92,52 @@
 	})
 }
 
-func (a *Acceptor) isDraining() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.draining
-}
+func (a *Acceptor) isDraining() bool { return a.draining.Load() }
 
 func (a *Acceptor) trackState(c net.Conn, s http.ConnState) {
 	k, ok := c.(*callerConn)
 	if !ok {
 		return
 	}
-	k.mu.Lock()
-	k.state = s
-	if k.timer != nil {
-		k.timer.Stop()
-		k.timer = nil
-	}
-	if s == http.StateIdle {
-		k.timer = time.AfterFunc(a.idleTimeout().Duration(), func() { k.closeIdle() })
-	}
-	k.mu.Unlock()
-	if s == http.StateIdle && a.isDraining() {
-		// The response started before the draining did, so it had no Connection: close.
-		k.closeIdle()
-	}
+	before := k.setState(s)
 	if s == http.StateClosed || s == http.StateHijacked {
+		a.recordEnd(k, before)
 		a.mu.Lock()
 		delete(a.conns, k)
 		a.mu.Unlock()
 	}
 }
 
+// currentLimits returns the limits that apply to connections now.
+func (a *Acceptor) currentLimits() sequoiasill.CallerLimits {
+	l := a.limits()
+	l.IdleTimeout = min(l.IdleTimeout, maxIdle)
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = defaultHeaderTimeout
+	}
+	l.HeaderTimeout = min(l.HeaderTimeout, maxHeaderTimeout) + transitAllowance
+	return l
+}
+
 // Drain starts to drain the entry: it accepts no new connections, closes the idle ones
 // and makes each response the last one on its connection.
 func (a *Acceptor) Drain() {
-	a.mu.Lock()
-	a.draining = true
-	a.mu.Unlock()
+	a.draining.Store(true)
 	if err := a.listener.Close(); err != nil {
 		a.log.Warn("listener not closed", "error", err)
 	}
 	a.closeIdle()
 }
 
-// closeIdle closes the idle connections and returns the number of the remaining ones.
+// closeIdle lets the idle connections of a draining entry close, and returns the number of open ones.
 func (a *Acceptor) closeIdle() int {
 	a.mu.Lock()
-	conns := make([]*callerConn, 0, len(a.conns))
-	for k := range a.conns {
-		conns = append(conns, k)
-	}
+	conns := slices.Collect(maps.Keys(a.conns))
 	a.mu.Unlock()
-	open := 0
 	for _, k := range conns {
-		if !k.closeIdle() {
-			open++
-		}
+		k.wake()
 	}
-	return open
+	return len(conns)
 }
 
 // Shutdown waits for the requests in progress, at most for timeout, and closes the server.
@@ -147,6 +150,7 @@
 		}
 		time.Sleep(idleCloseInterval)
 	}
+	a.markStopped()
 	if err := a.server.Close(); err != nil {
 		a.log.Debug("server not closed", "error", err)
 	}
@@ -165,62 +169,14 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &callerConn{Conn: c}
+	now := time.Now()
+	k := &callerConn{Conn: c, acceptor: l.acceptor, acceptedAt: now, waitSince: now}
 	l.acceptor.mu.Lock()
 	l.acceptor.conns[k] = true
 	l.acceptor.mu.Unlock()
 	return k, nil
 }
 
-// callerConn is a caller's connection that tracks whether a request is pending on it.
-type callerConn struct {
-	net.Conn
-
-	mu             sync.Mutex
-	state          http.ConnState
-	requestPending bool // bytes were read since the last write
-	closed         bool
-	timer          *time.Timer // set while the connection is idle
-}
-
-// Read implements net.Conn. Data that arrives after the decision to close is discarded, so
-// that its request is not served.
-func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
-	}
-	c.requestPending = c.requestPending || n > 0
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *callerConn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	c.requestPending = false
-	c.mu.Unlock()
-	return c.Conn.Write(p)
-}
-
-// closeIdle closes the connection unless a request is pending on it. It reports whether the
-// connection is closed.
-func (c *callerConn) closeIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed || c.state == http.StateClosed {
-		return true
-	}
-	if c.requestPending || c.state != http.StateIdle && c.state != http.StateNew {
-		return false
-	}
-	c.closed = true
-	// The server then detects the closed connection and reports StateClosed.
-	_ = c.Close()
-	return true
-}
-
 // Listen opens a TCP listener that detects callers that disappeared without closing.
 func Listen(address string) (net.Listener, error) {
 	lc := net.ListenConfig{KeepAliveConfig: callerKeepAlive}
