--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -97,6 +97,7 @@
 	usage          []Usage
 	scaling        []Scaling
 	calls          int
+	raw            rawSpecs
 }
 
 // New serves on l until Close. The seed determines which responses are lost.
@@ -258,9 +259,15 @@
 func (d discardWriter) WriteHeader(int)             {}
 
 func (s *Store) writeJSON(w http.ResponseWriter, status int, body any) {
+	b, err := json.Marshal(body)
+	if err != nil {
+		s.log.Error("response not encoded", "error", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	if err := json.NewEncoder(w).Encode(body); err != nil {
+	if _, err := w.Write(s.raw.restore(b)); err != nil {
 		s.log.Debug("response not written", "error", err)
 	}
 }
--- a/storeversion.go
+++ b/storeversion.go
@@ -6,6 +6,9 @@
 // MaxStoreEra is the largest era that a store version can hold.
 const MaxStoreEra = 1<<(64-storeRevisionBits) - 1
 
+// MaxStoreRevision is the largest revision that a store version can hold.
+const MaxStoreRevision = 1<<storeRevisionBits - 1
+
 // StoreVersion returns the version of an object that was read from the platform's store: its
 // revision and the store's era. The era rises by one each time the store comes back from a copy,
 // after which revisions are given out again. Versions are ordered by era first, so that whatever
