Soak: silences of sound replicas and of the store, beside planned work

The soak could only lose data of a silent replica, which excuses what it costs.

--silent draws from planned work and from silences of 0.8 to 1.8 s that lose nothing, of one, some or all replicas of a service: either the process stands still, or the network too, so that the kernel drops new connections. The store falls silent as well, and there are changes of the idle timeout, of the timeouts of routes, 350 more routes and storms of configurations. The last one is new for planned work in general.

--- a/cmd/sequoia-soak/main.go
+++ b/cmd/sequoia-soak/main.go
@@ -30,6 +30,7 @@
 	app.Flag("callers", "Callers to run.").Default("16").IntVar(&o.Callers)
 	app.Flag("planned", "Planned work only.").BoolVar(&o.PlannedOnly)
 	app.Flag("storm", "Inject only faults that cause retries.").BoolVar(&o.Storm)
+	app.Flag("silent", "Planned work and moments of silence of sound replicas only.").BoolVar(&o.Silent)
 	app.Flag("only", "Name of the only fault to inject; empty for all.").StringVar(&o.OnlyFault)
 	app.Flag("except", "Name of a fault not to inject; may be repeated.").StringsVar(&o.ExceptFaults)
 	o.RetryLimits.Window = 10 * sequoiasill.Second
@@ -86,6 +87,9 @@
 	if counts.PartitionedCalls > 0 {
 		fmt.Printf("  %d of %d calls to entries that reached no replica were served\n", counts.PartitionedServed, counts.PartitionedCalls)
 	}
+	for _, end := range slices.Sorted(maps.Keys(counts.Lost)) {
+		fmt.Printf("  %d calls were accepted and ended without an answer: %s\n", counts.Lost[end], end)
+	}
 	for _, name := range slices.Sorted(maps.Keys(counts.Faults)) {
 		fmt.Printf("  %3d %s\n", counts.Faults[name], name)
 	}
--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"time"
@@ -100,6 +101,11 @@
 	checker.recordSend(id, k, key, conn.entry.number)
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout+time.Second)
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(w httptrace.WroteRequestInfo) {
+		if w.Err == nil {
+			checker.recordWritten(id)
+		}
+	}})
 	req, err := newRequest(ctx, conn.entry, id, key, routePaths[k]+id, "body")
 	if err != nil {
 		checker.addViolation("request not made: %v", err)
--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -52,8 +52,12 @@
 	key              string
 	sent             time.Time
 	executions       int
-	status           int  // status code that the caller received; 0 for none
+	status           int // status code that the caller received; 0 for none
+	writtenAt        time.Time
+	end              string // way in which it ended without a response; empty if it got one
+	endedAfter       time.Duration
 	undisturbed      bool // no unplanned fault affected the call, which failed without a response
+	old              bool // it was sent in full long before its end
 	err              error
 }
 
@@ -76,12 +80,14 @@
 	lastFaultEnd  time.Time               // of unplanned faults
 	counts        Counts
 	latencies     []time.Duration // of good calls to the plain service
+	// shortestTimeout is the shortest timeout after which a configuration let an entry end a call.
+	shortestTimeout time.Duration
 }
 
 func newChecker(retryLimits rationer.Limits) *checker {
 	return &checker{
 		calls: make(map[string]*callRecord), builds: make(builds), retries: newRetryChecker(retryLimits), signals: newSignalChecker(drainTimeout), limits: newLimitChecker(), prompts: newPromptChecker(), partitions: newPartitionChecker(), recoveries: recoveries{entries: make(map[string][]sequoiasill.Millis)}, revokedAt: make(map[string]time.Time), drainingSince: make(map[string]time.Time), crashes: make(map[string]*crashRecord),
-		counts: Counts{Faults: make(map[string]int)},
+		counts: Counts{Faults: make(map[string]int), Lost: make(map[string]int)}, shortestTimeout: callerTimeout,
 	}
 }
 
@@ -272,11 +278,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.calls[id]
+	// The execution may be observed later, so results checks the end.
+	c.recordEnd(r, status, err)
 	if err != nil {
-		// The execution may be observed later, so results checks it. A response may be
-		// truncated once the call has reached its timeout.
 		c.counts.NoResponse++
-		r.undisturbed, r.err = c.undisturbedSince(r.sent) && time.Since(r.sent) < callerTimeout, err
 		return
 	}
 	r.status = status
@@ -359,22 +364,19 @@
 	c.drainingSince[upstream] = time.Now()
 }
 
-// results returns the violations and the counts of the run. It first checks the calls that got no
-// response: none may have been executed while there was only planned work.
+// results returns the violations and the counts of the run.
 func (c *checker) results() ([]string, Counts) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id, r := range c.calls {
+	for _, r := range c.calls {
 		c.partitions.calls = append(c.partitions.calls, partitionCall{sent: sequoiasill.Millis(r.sent.UnixMilli()), entry: r.entry, served: r.status == http.StatusOK && r.err == nil})
-		if r.err != nil && r.undisturbed && r.executions > 0 {
-			c.addViolationLocked("call %s ran and ended without an answer under planned work only: %v%s", id, r.err, r.describe())
-		}
 	}
+	lost := c.lostCalls()
 	slices.Sort(c.latencies)
 	c.counts.MedianLatency, c.counts.HighLatency = percentile(c.latencies, 50), percentile(c.latencies, 99)
 	stranded := c.partitions.results()
 	c.counts.PartitionedServed, c.counts.PartitionedCalls = c.partitions.served, c.partitions.counted
 	c.counts.Retries, c.counts.WorstWindows = c.retries.auditor.Repeats(), c.retries.auditor.WorstWindows(c.retries.limits)
 	c.counts.RateLimited, c.counts.MaxRateLimitUse = c.limits.checkedCalls, c.limits.maxUse
-	return slices.Concat(c.violations, c.retries.violations(), c.signals.violations, c.limits.violations, c.prompts.results(), stranded), c.counts
+	return slices.Concat(c.violations, lost, c.retries.violations(), c.signals.violations, c.limits.violations, c.prompts.results(), stranded), c.counts
 }
--- a/standin/soaker/counts.go
+++ b/standin/soaker/counts.go
@@ -10,6 +10,7 @@
 type Counts struct {
 	Calls, Succeeded, Refused, Failed, NoResponse int
 	Faults                                        map[string]int // faults and planned work, by name
+	Lost                                          map[string]int // calls that were accepted and ended without a response under planned work only, by the way they ended
 	Retries                                       int
 	WorstWindows                                  []auditor.Window // windows with the largest use of the limit on retries, by service
 	RateLimited                                   int              // calls that arrived while the upstream's rate limit applied
--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -134,8 +134,11 @@
 // duration in milliseconds.
 func (h *Harness) selectFaults() (list []fault, maxMillis int) {
 	list, maxMillis = faults, maxFaultMillis
-	if h.opts.Storm {
+	switch {
+	case h.opts.Storm:
 		list, maxMillis = stormFaults, maxStormMillis
+	case h.opts.Silent:
+		list = silentFaults
 	}
 	if i := slices.IndexFunc(list, func(f fault) bool { return f.name == h.opts.OnlyFault }); i >= 0 {
 		list = list[i : i+1]
--- a/standin/soaker/proxy.go
+++ b/standin/soaker/proxy.go
@@ -1,8 +1,10 @@
 package soaker
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -16,9 +18,13 @@
 	blackhole                   // no data is forwarded and no connection is closed
 	dropResponses               // requests are forwarded, responses are not
 	stall                       // no data is forwarded until the fault ends, as with a paused process
+	isolate                     // as stall, and the kernel accepts no new connections
 	repeatRefusals              // a refusal is sent once more when the next request on its connection is forwarded
 )
 
+// holdsBack reports whether data waits for the end of the fault.
+func (f networkFault) holdsBack() bool { return f == stall || f == isolate }
+
 // proxy forwards connections to an address and can inject network faults into them.
 type proxy struct {
 	listener net.Listener
@@ -29,6 +35,7 @@
 	fault        networkFault
 	lastFaultEnd time.Time
 	faultChanged chan struct{} // closed and replaced when the fault changes
+	restore      func()        // ends the isolation of the listener; nil if it is not isolated
 	conns        map[net.Conn]bool
 	senders      map[net.Conn]int // number of the entry that opened the connection, -1 if unknown
 	targetSender map[string]int   // the same by the local address of the connection to the target
@@ -47,7 +54,11 @@
 	}
 	go func() {
 		for {
+			p.waitWhileIsolated()
 			c, err := l.Accept()
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				continue
+			}
 			if err != nil {
 				return
 			}
@@ -66,13 +77,20 @@
 
 func (p *proxy) setFault(f networkFault) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	if p.restore != nil {
+		p.restore()
+		p.restore = nil
+	}
 	if p.fault != noFault {
 		p.lastFaultEnd = time.Now()
 	}
 	p.fault = f
 	close(p.faultChanged)
 	p.faultChanged = make(chan struct{})
+	p.mu.Unlock()
+	if f == isolate {
+		p.isolate()
+	}
 }
 
 // faultyWithin reports whether a fault is active or ended less than the given duration ago.
@@ -90,7 +108,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.fault != stall && !p.lossy[address]
+	return !p.fault.holdsBack() && !p.lossy[address]
 }
 
 func (p *proxy) markLossy(target net.Conn) {
@@ -108,13 +126,26 @@
 		p.mu.Lock()
 		f, changed := p.fault, p.faultChanged
 		p.mu.Unlock()
-		if f != stall {
+		if !f.holdsBack() {
 			return f
 		}
 		<-changed
 	}
 }
 
+// waitWhileIsolated waits until the kernel may accept connections.
+func (p *proxy) waitWhileIsolated() {
+	for {
+		p.mu.Lock()
+		f, changed := p.fault, p.faultChanged
+		p.mu.Unlock()
+		if f != isolate {
+			return
+		}
+		<-changed
+	}
+}
+
 // reset resets all connections.
 func (p *proxy) reset() {
 	p.mu.Lock()
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -37,6 +37,7 @@
 	Rate          float64         // calls per second of all callers together
 	PlannedOnly   bool            // inject only planned work, no faults
 	Storm         bool            // inject faults that cause many retries
+	Silent        bool            // inject only planned work and silences of sound upstreams
 	OnlyFault     string          // name of the only fault to inject; empty for all
 	ExceptFaults  []string        // names of faults not to inject
 	RetryLimits   rationer.Limits // limits on retries, also written to the entries' settings
@@ -79,6 +80,7 @@
 	replicas        map[string]*replica
 	replicasCreated int
 	configVersion   int
+	variant         configVariant
 	config          any                 // as the operator last wrote it
 	registered      map[string]*replica // whose records the store holds, by ID
 	apiKeys         []string
@@ -94,7 +96,7 @@
 // Run runs one seed and returns the violations found.
 func Run(o Options) ([]string, Counts, error) {
 	h := &Harness{
-		opts: o, checker: newChecker(o.RetryLimits), rand: rand.New(rand.NewPCG(o.Seed, 1)),
+		opts: o, variant: usualConfig, checker: newChecker(o.RetryLimits), rand: rand.New(rand.NewPCG(o.Seed, 1)),
 		replicas: make(map[string]*replica), registered: make(map[string]*replica), apiKeys: []string{"key-0"}, ready: make(map[int]bool), inUse: make(map[string]bool),
 	}
 	h.paths = newPartitions(h.senderOf)
@@ -277,15 +279,15 @@
 	for k, path := range routePaths {
 		name := map[callKind]string{runOnce: "unsafe", repeatable: "safe", onceStream: "streaming", resumableStream: "streaming"}[k]
 		routes = append(routes, map[string]any{
-			"name": path, "host": host, "pathPrefix": path, "routeKind": name, "resumable": k == resumableStream, "timeoutMs": 3000,
+			"name": path, "host": host, "pathPrefix": path, "routeKind": name, "resumable": k == resumableStream, "timeoutMs": int64(h.variant.routeTimeout),
 			"targetLatencyMs": 200, "service": k.service(), "maxAttempts": k.maxUpstreams(),
 		})
 	}
 	h.config = map[string]any{
-		"version": h.configVersion, "routes": routes, "services": []any{
+		"version": h.configVersion, "routes": append(routes, extraRoutes(h.variant.extraRoutes)...), "services": []any{
 			map[string]any{"name": plainService, "healthPath": healthPath}, map[string]any{"name": streamService, "healthPath": healthPath},
 		},
-		"limits":  map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000},
+		"limits":  map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": int64(h.variant.idleTimeout)},
 		"tenants": []any{map[string]any{"name": "small", "apiKeys": h.apiKeys}},
 	}
 	h.store.Put("config", "main", h.config)
