Leave a repeat to its call if nothing was sent

What callers saw: 502 after some 800 ms, or a stream that was cut, though their calls had time left and no upstream had failed: all upstreams of the service were silent for a second.

Cause: an attempt without a response took a repeat from the retry budget and was given up for another upstream. The connect there failed, or another entry refused the call without an upstream. No upstream had received anything, yet the repeat counted as spent, and the next attempt needed another one, which the budget denied.

TestRepeatIsLeftToTheCallIfNothingWasSent fails in both cases on the code before, with 502.

A send of which no byte was written has a result of its own for the budget now, and its repeat is unsent again. It may go with the next send of the call, and what is left is returned at the end of the call. The classifier's tests named this result as that of a connection that the upstream closed; they now demand the new one.

--- a/decide/classifier/classifier.go
+++ b/decide/classifier/classifier.go
@@ -87,7 +87,9 @@
 // the call may still reach the upstream.
 func (e End) sendResult() rationer.SendResult {
 	switch e.Kind {
-	case NotSent, Withheld, ConnectionClosed:
+	case NotSent, Withheld:
+		return rationer.NotSent
+	case ConnectionClosed:
 		return rationer.Closed
 	case NoResponse, GivenUp:
 		return rationer.Abandoned
--- a/decide/classifier/classifier_test.go
+++ b/decide/classifier/classifier_test.go
@@ -17,15 +17,15 @@
 	}{
 		"no connection": {
 			classifier.End{Kind: classifier.NotSent},
-			classifier.Classification{Outcome: registrar.Unreachable, Send: rationer.Closed, Retry: classifier.RetryAny},
+			classifier.Classification{Outcome: registrar.Unreachable, Send: rationer.NotSent, Retry: classifier.RetryAny},
 		},
 		"no connection, and the caller disconnected": {
 			classifier.End{Kind: classifier.NotSent, CallerDisconnected: true, EndedHere: true},
-			classifier.Classification{Outcome: registrar.Abandoned, Send: rationer.Closed, Retry: classifier.RetryAny},
+			classifier.Classification{Outcome: registrar.Abandoned, Send: rationer.NotSent, Retry: classifier.RetryAny},
 		},
 		"withheld: no effect on the health of the upstream or the retry budget": {
 			classifier.End{Kind: classifier.Withheld},
-			classifier.Classification{Outcome: registrar.Abandoned, Send: rationer.Closed, Retry: classifier.RetryAny},
+			classifier.Classification{Outcome: registrar.Abandoned, Send: rationer.NotSent, Retry: classifier.RetryAny},
 		},
 		"the upstream closed the connection": {
 			classifier.End{Kind: classifier.ConnectionClosed},
--- a/decide/rationer/latearrivals_test.go
+++ b/decide/rationer/latearrivals_test.go
@@ -130,6 +130,16 @@
 		"connection closed": {func(r *rationer.Rationer, c *rationer.Call) {
 			r.SendEnded(r.Sent(100, c, "i-2"), rationer.Closed)
 		}, 200, 0},
+		"not sent: the repeat is left to the call": {func(r *rationer.Rationer, c *rationer.Call) {
+			r.SendEnded(r.Sent(100, c, "i-2"), rationer.NotSent)
+			if !c.HasUnsentRepeat() {
+				t.Error("the repeat is gone")
+			}
+		}, 200, 1},
+		"not sent, and returned": {func(r *rationer.Rationer, c *rationer.Call) {
+			r.SendEnded(r.Sent(100, c, "i-2"), rationer.NotSent)
+			r.ReturnUnsent(c)
+		}, 200, 0},
 		"response pending": {func(r *rationer.Rationer, c *rationer.Call) { r.Sent(100, c, "i-2") }, 200, 1},
 		"abandoned": {func(r *rationer.Rationer, c *rationer.Call) {
 			r.SendEnded(r.Sent(100, c, "i-2"), rationer.Abandoned)
--- a/decide/rationer/rationer.go
+++ b/decide/rationer/rationer.go
@@ -75,6 +75,7 @@
 	call     *Call
 	upstream string
 	at       sequoiasill.Millis
+	repeats  int // unsent repeats of the call that it used
 }
 
 // SendResult is the result of a send.
@@ -83,8 +84,9 @@
 // The results of a send.
 const (
 	Answered  SendResult = iota // the upstream responded
-	Closed                      // it was not sent, or the upstream closed the connection
+	Closed                      // the upstream closed the connection
 	Abandoned                   // its response is no longer awaited; it may still arrive at the upstream
+	NotSent                     // no byte was sent, so that its repeat is left to the call
 )
 
 // New returns a Rationer for one of the given number of entries.
@@ -197,9 +199,10 @@
 
 // Sent records that a call is sent to an upstream. SendEnded must be called for the send.
 func (r *Rationer) Sent(now sequoiasill.Millis, c *Call, upstream string) *Send {
+	s := &Send{call: c, upstream: upstream, at: now, repeats: c.unsent}
 	c.pendingSends++
 	c.unsent = 0
-	return &Send{call: c, upstream: upstream, at: now}
+	return s
 }
 
 // SendEnded records the result of a send. A response proves that everything sent to the
@@ -209,6 +212,9 @@
 		r.abandoned[s.upstream] = append(r.abandoned[s.upstream], s)
 		return
 	}
+	if e == NotSent {
+		s.call.unsent += s.repeats
+	}
 	s.settle()
 	if e == Answered {
 		r.settleAbandoned(s.upstream, func(earlier *Send) bool { return earlier.at < s.at })
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -53,6 +53,14 @@
 // Ran returns the verdict.
 func (e *RefusalError) Ran() sequoiasill.Verdict { return e.Failure.Verdict }
 
+// sendResult returns the result for the retry budget: without an arrival at an upstream, nothing was sent.
+func (e *RefusalError) sendResult() rationer.SendResult {
+	if e.Failure.Verdict == sequoiasill.NotRun && e.Arrivals == 0 {
+		return rationer.NotSent
+	}
+	return rationer.Answered
+}
+
 // pickRelay chooses an entry that serves the call on behalf of this one. A call that another entry
 // relayed here is not relayed again.
 func (d *Dispatcher) pickRelay(j *job) (*peerpicker.Peer, bool) {
@@ -110,7 +118,7 @@
 	switch {
 	case errors.As(err, &refusal):
 		timer.stop()
-		d.recordSendEnd(send, rationer.Answered)
+		d.recordSendEnd(send, refusal.sendResult())
 		return t.handleRelayRefusal(ctx, refusal)
 	case err != nil:
 		timer.stop()
--- a/relay/dispatcher/retries_test.go
+++ b/relay/dispatcher/retries_test.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
 // The log explains why a call was retried or not: how the attempt ended, how many upstreams
@@ -60,6 +61,41 @@
 	}
 }
 
+// oneRepeat returns a retry budget that allows one repeat.
+func oneRepeat() *rationer.Rationer {
+	budget := rationer.New(rationer.Limits{Ratio: 0.01, Slack: 1, Window: 60 * sequoiasill.Second}, 1)
+	for range 1000 {
+		budget.Call(sequoiasill.NewSystemClock().Now(), "plain")
+	}
+	return budget
+}
+
+// Guards against LOST: a repeat was spent on a connect that failed, and the call was given up.
+func TestRepeatIsLeftToTheCallIfNothingWasSent(t *testing.T) {
+	noUpstream := relayStep{refusal: refusal(sequoiasill.NotRun, sequoiasill.CodeNoUpstream, 503)}
+	tests := map[string]struct {
+		steps  []step
+		relays *fakeRelays
+	}{
+		"no connection": {
+			[]step{{hang: true}, {fail: true, verdict: sequoiasill.NotRun}, {status: 200, body: "good"}}, &fakeRelays{}},
+		"refused by another entry": {
+			[]step{{hang: true}, {fail: true, verdict: sequoiasill.NotRun}, {fail: true, verdict: sequoiasill.NotRun}},
+			&fakeRelays{entries: 2, steps: []relayStep{noUpstream, {status: 200, body: "good", runs: 2}}}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c, u := &fakeTransport{steps: tc.steps}, &fakePeers{usageCounts: make(map[string]int)}
+			d := newDispatcherOf(c, u, soundScreener(), &fakePaths{}, tc.relays, oneRepeat(), hclog.NewNullLogger())
+			var got reply
+			d.Serve(context.Background(), call("/read/x", "key"), &got)
+			if diff := cmp.Diff(reply{Status: 200, Body: "good", Ended: true}, got); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // attemptLines summarises the log lines on attempts and retries.
 func attemptLines(t *testing.T, log []byte) []string {
 	t.Helper()
--- a/relay/dispatcher/sendend_test.go
+++ b/relay/dispatcher/sendend_test.go
@@ -27,8 +27,8 @@
 		err  error
 		want rationer.SendResult
 	}{
-		"not sent":                   {context.Background(), notSent{io.EOF}, rationer.Closed},
-		"not sent before the end":    {ended, notSent{io.EOF}, rationer.Closed},
+		"not sent":                   {context.Background(), notSent{io.EOF}, rationer.NotSent},
+		"not sent before the end":    {ended, notSent{io.EOF}, rationer.NotSent},
 		"closed by the upstream":     {context.Background(), errors.Trace(io.EOF), rationer.Closed},
 		"no acknowledgement":         {context.Background(), errors.Trace(os.ErrDeadlineExceeded), rationer.Abandoned},
 		"given up":                   {ended, errors.Trace(io.EOF), rationer.Abandoned},
