Let the last attempt of a call go on when no upstream responds

What callers saw: 502 after 0.6 to 0.9 s while all upstreams of a service were silent for a second, though the upstream that had the call went on.

Cause: when an entry loses its paths to a service, it cancels the attempts there that do not progress, so that another entry serves their calls. It did not ask whether the call may run once more: the second and last attempt was cancelled, and the call ended.

TestLastAttemptGoesOnWhenPathsAreLost fails on the code before with 502.

An attempt knows now whether it is the last one, which its timer asked already, and such attempts go on.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -48,6 +48,7 @@
 	pathBroke        bool               // the end of the attempt may be due to the path to the upstream
 	untilClose       bool               // the response has no framing and ends with its connection
 	relay            bool               // another entry serves the call
+	last             bool               // the call may not be retried after this attempt
 	permit           *throttler.Permit  // nil if the upstream has no rate limit
 	lastData         sequoiasill.Millis // when the response last made progress; guarded by the dispatcher's lock
 	maybeSent        bool               // part of the request may have been sent
@@ -65,7 +66,7 @@
 	j.tried[choice.Replica.Name] = true
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, started: d.clock.Now(), arrivalsBefore: j.arrivals, permit: p.permit, cancel: cancel}
+	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, started: d.clock.Now(), arrivalsBefore: j.arrivals, permit: p.permit, last: j.isLastRun(), cancel: cancel}
 	a := Attempt{
 		Call: j.call, Replica: choice.Replica, Remaining: j.deadline - t.started, Priority: j.enginePriority(), ResumeAfter: j.events.last, MaySend: t.maySend,
 	}
--- a/relay/dispatcher/attempttimeout.go
+++ b/relay/dispatcher/attempttimeout.go
@@ -30,7 +30,7 @@
 // attempt ends. An entry that serves a relayed call has timers of its own.
 func newAttemptTimer(t *try) *attemptTimer {
 	g := &attemptTimer{try: t, timeout: t.route.TargetLatency * sequoiasill.Millis(t.d.opts.AttemptTimeoutPercent) / 100}
-	if t.relay || !t.route.MayRetry() || t.runs+1 >= t.route.MaxAttempts || g.timeout <= 0 || t.deadline-t.started < 2*g.timeout {
+	if t.relay || t.last || g.timeout <= 0 || t.deadline-t.started < 2*g.timeout {
 		g.stopped = true
 		return g
 	}
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -267,13 +267,13 @@
 const stalledTime = 400 * sequoiasill.Millis(1)
 
 // PathsLost cancels the attempts at a service that do not progress any more, now that this entry
-// reaches no upstream of it, if their calls may be retried and the retry budget allows it.
+// reaches no upstream of it, if their calls may be retried after this attempt and the retry budget allows it.
 func (d *Dispatcher) PathsLost(service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	for t := range d.tries {
-		if t.service != service || !t.route.MayRetry() || now-t.lastData < stalledTime {
+		if t.service != service || t.last || now-t.lastData < stalledTime {
 			continue
 		}
 		if _, ok := d.pickRelay(t.job); ok && d.rationer.TakeRepeat(now, t.retryBudget) {
--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -462,6 +462,23 @@
 	}
 }
 
+// Guards against LOST: the last attempt that a call is allowed was given up when no upstream responded for a
+// moment.
+func TestLastAttemptGoesOnWhenPathsAreLost(t *testing.T) {
+	c, u := &fakeTransport{steps: []step{{fail: true, verdict: sequoiasill.MayHaveRun}, {status: 200, body: "good", delay: 800}}}, &fakePeers{usageCounts: make(map[string]int)}
+	paths, relays := &fakePaths{}, &fakeRelays{entries: 1, steps: []relayStep{{status: 200, body: "relayed", runs: 2}}}
+	d := newRelayingDispatcher(t, c, u, paths, relays)
+	time.AfterFunc(500*time.Millisecond, func() {
+		paths.set(pathmonitor.Unreachable)
+		d.PathsLost("plain")
+	})
+	var got reply
+	d.Serve(context.Background(), call("/read/x", "key"), &got)
+	if diff := cmp.Diff(reply{Status: 200, Body: "good", Ended: true}, got); diff != "" {
+		t.Errorf("response (-want +got):\n%s", diff)
+	}
+}
+
 // A relayed call draws on the retry budget and adds nothing to it.
 func TestRelayedCallsAddNothingToTheRetryBudget(t *testing.T) {
 	b := rationer.New(rationer.Limits{Ratio: 1, Slack: 0, Window: 1000}, 1)
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -48,6 +48,9 @@
 	fallback     *fallbackResponse
 }
 
+// isLastRun reports whether the call may not be retried once another upstream has run it.
+func (j *job) isLastRun() bool { return !j.route.MayRetry() || j.runs+1 >= j.route.MaxAttempts }
+
 // fallbackResponse is a complete error response that is delivered if no attempt yields a
 // better one.
 type fallbackResponse struct {
