Wait for silent upstreams before a call that was given up ends

What callers saw: streams that were cut, and 502, after 0.7 to 1.3 s, while all upstreams of a service were silent for a second and then went on. The calls had time left.

Cause: an attempt without a response is cancelled for another upstream or, when the entry loses its paths, for another entry. If there turned out to be none (connects timed out, the other entries had lost their paths too, upstreams were full or the retry budget was spent), the call ended at once, although nothing had failed.

Such a call now looks for an upstream again every 50 ms, its silent ones included, until one responds, its deadline or shortly before the end of its entry. Attempts, refusals and the retry budget are bounded as before. Calls that no upstream received are still refused at once, and failures of upstreams still end a call. Relayed calls do not wait; the entry that relayed them does.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -66,6 +66,7 @@
 	j.tried[choice.Replica.Name] = true
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer func() { j.recordGivenUp(attemptCtx, choice.Replica.Name) }()
 	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, started: d.clock.Now(), arrivalsBefore: j.arrivals, permit: p.permit, last: j.isLastRun(), cancel: cancel}
 	a := Attempt{
 		Call: j.call, Replica: choice.Replica, Remaining: j.deadline - t.started, Priority: j.enginePriority(), ResumeAfter: j.events.last, MaySend: t.maySend,
@@ -247,6 +248,7 @@
 	case classifier.NotSent:
 		if !t.relay {
 			t.notSent++
+			t.unanswered = append(t.unanswered, t.choice.Replica.Name)
 		}
 		return t.conclude(e, "not sent", "upstream cannot be reached", "error", err)
 	}
--- a/relay/dispatcher/attempttimeout.go
+++ b/relay/dispatcher/attempttimeout.go
@@ -9,7 +9,7 @@
 )
 
 // retryCheckInterval is the interval of checks whether a slow attempt can be replaced by a
-// retry. Retry budgets refill within seconds, and callers do not notice a shorter delay.
+// retry, and whether a call that was given up can be retried. Retry budgets refill within seconds, and callers do not notice a shorter delay.
 const retryCheckInterval = 50 * sequoiasill.Millis(1)
 
 // attemptTimer cancels an attempt whose response does not start in time, as soon as the call
--- a/relay/dispatcher/attempttimeout_test.go
+++ b/relay/dispatcher/attempttimeout_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"bytes"
 	"context"
 	"testing"
 
@@ -53,6 +54,22 @@
 	}
 }
 
+// A call that was given up waits for the retry budget if an upstream refuses its repeat.
+func TestCallThatWasGivenUpAwaitsTheRetryBudget(t *testing.T) {
+	budget := rationer.New(rationer.Limits{Slack: 20, Window: 1000}, 1)
+	var log bytes.Buffer
+	c := &fakeTransport{steps: []step{{hang: true}, {status: 503, refused: true}, {status: 200, body: "good"}}}
+	d := newDispatcherWith(c, &fakePeers{usageCounts: make(map[string]int)}, budget, hclog.New(&hclog.LoggerOptions{Output: &log, JSONFormat: true}))
+	var got reply
+	d.Serve(context.Background(), call("/read/x", "key"), &got)
+	if diff := cmp.Diff(reply{Status: 200, Body: "good", Ended: true}, got); diff != "" {
+		t.Errorf("response (-want +got):\n%s", diff)
+	}
+	if n := bytes.Count(log.Bytes(), []byte(`"repeat"`)); n > 4 {
+		t.Errorf("%d lines on repeats:\n%s", n, log.String())
+	}
+}
+
 // A response that arrives although its attempt timed out is delivered, and the retry that was
 // taken from the budget is returned.
 func TestResponseAfterTheTimeoutReturnsTheRetry(t *testing.T) {
--- /dev/null
+++ b/relay/dispatcher/await_test.go
@@ -0,0 +1,77 @@
+package dispatcher_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
+)
+
+// Guards against LOST: calls whose attempts were given up ended at once if all upstreams were silent for a
+// moment.
+func TestCallThatWasGivenUpAwaitsAnUpstream(t *testing.T) {
+	const event1, event2 = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	notSent := step{fail: true, verdict: sequoiasill.NotRun}
+	tests := map[string]struct {
+		path  string
+		steps []step
+		lost  bool // the paths are lost for a moment
+		want  reply
+	}{
+		"a stream that has begun": {"/quick/x", []step{{status: 200, events: true, body: event1, stalls: true}, {status: 200, events: true, body: event2}},
+			true, reply{Status: 200, Body: event1 + event2, Ended: true}},
+		"a call without a response":      {"/quick/x", []step{{hang: true}, {status: 200, body: "good"}}, true, reply{Status: 200, Body: "good", Ended: true}},
+		"upstreams that are not reached": {"/read/x", []step{{hang: true}, notSent, notSent, {status: 200, body: "good"}}, false, reply{Status: 200, Body: "good", Ended: true}},
+		"other upstreams that are full": {"/read/x", []step{{hang: true}, {status: 503, refused: true}, {status: 503, refused: true}, {status: 200, body: "good"}},
+			false, reply{Status: 200, Body: "good", Ended: true}},
+		"upstreams that stay unreachable": {"/read/x", []step{{hang: true}, notSent}, false, reply{Status: 504, Ended: true}},
+		"a call that was not run":         {"/once/x", []step{notSent}, false, reply{Status: 503, Ended: true}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, u := &fakeTransport{steps: tc.steps}, &fakePeers{usageCounts: make(map[string]int)}
+			paths := &fakePaths{}
+			relays := &fakeRelays{entries: 1, steps: []relayStep{{refusal: refusal(sequoiasill.NotRun, sequoiasill.CodeNoUpstream, 503)}}}
+			d := newRelayingDispatcher(t, c, u, paths, relays)
+			if tc.lost {
+				time.AfterFunc(500*time.Millisecond, func() {
+					paths.set(pathmonitor.Unreachable)
+					d.PathsLost("plain")
+				})
+				time.AfterFunc(900*time.Millisecond, func() {
+					paths.set(pathmonitor.Reachable)
+					d.PathsRestored("plain")
+				})
+			}
+			var got reply
+			d.Serve(context.Background(), call(tc.path, "key"), &got)
+			got.RetryAfter = 0
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// A call that waits for an upstream ends with an answer before its entry does.
+func TestCallThatWaitsIsAnsweredBeforeTheEntryEnds(t *testing.T) {
+	notSent := step{fail: true, verdict: sequoiasill.NotRun}
+	c := &fakeTransport{steps: []step{{hang: true}, notSent}}
+	d := newDispatcher(t, c, &fakePeers{usageCounts: make(map[string]int)})
+	clock := sequoiasill.NewSystemClock()
+	end := clock.Now() + 800
+	d.SetShutdownTime(end)
+	var got reply
+	d.Serve(context.Background(), call("/read/x", "key"), &got)
+	if now := clock.Now(); now >= end {
+		t.Errorf("the call ends %s after its entry", now-end)
+	}
+	if diff := cmp.Diff(reply{Status: 502, Ended: true}, got); diff != "" {
+		t.Errorf("response (-want +got):\n%s", diff)
+	}
+}
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -42,6 +42,7 @@
 	events        bool
 	body          string
 	broken        bool // the body ends with an error
+	stalls        bool // the body does not end until the attempt is cancelled
 	untilClose    bool // the body ends when the connection is closed
 	gone          bool // the upstream does not run any more when the body has ended
 	draining      bool
@@ -105,6 +106,9 @@
 	if s.broken {
 		body = io.MultiReader(body, brokenReader{})
 	}
+	if s.stalls {
+		body = io.MultiReader(body, stalledReader{ctx})
+	}
 	outlived := func(context.Context) error {
 		if s.gone {
 			return syscall.ECONNREFUSED
@@ -125,6 +129,14 @@
 
 func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
+// stalledReader has no data until its context ends.
+type stalledReader struct{ ctx context.Context }
+
+func (r stalledReader) Read([]byte) (int, error) {
+	<-r.ctx.Done()
+	return 0, r.ctx.Err()
+}
+
 // reply records the response to the caller.
 type reply struct {
 	Status     int
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -38,10 +38,14 @@
 	triedPeers   map[string]bool // entries to which the call was offered
 	relayed      bool            // another entry relayed the call
 	notSent      int             // upstreams to which no connection could be made
+	unanswered   []string        // tried upstreams to which no connection could be made, or whose attempts were given up
+	gaveUp       bool            // an attempt was cancelled for want of a response
+	awaited      bool            // the call has waited for an upstream
 	arrivals     int             // upstreams that the call reached
 	runs         int             // those that may have run it
 	refusals     int
 	denials      int       // permits denied by rate limits
+	retryDenied  bool      // the retry budget was exhausted at the last check
 	usageCounted bool      // the call is in its organisation's usage
 	headerSent   bool      // the header of a stream was sent to the caller
 	events       numbering // of the events that were sent to the caller
@@ -196,6 +200,9 @@
 		}
 		p, ok := d.nextPlacement(ctx, j)
 		if !ok {
+			if d.awaitUpstream(ctx, j) {
+				continue
+			}
 			d.finish(ctx, j, noUpstreamReason(j))
 			return
 		}
@@ -212,7 +219,7 @@
 		case n == stop || ctx.Err() != nil:
 			d.finish(ctx, j, reason)
 			return
-		case !d.mayRetry(j):
+		case !d.mayRetry(j) && !d.awaitRetry(ctx, j):
 			d.finish(ctx, j, reason+"; no further attempt is allowed")
 			return
 		}
@@ -338,12 +345,20 @@
 // mayRetry reports whether the call may be retried, and takes a retry from the budget if it
 // needs one.
 func (d *Dispatcher) mayRetry(j *job) bool {
-	if j.runs >= j.route.MaxAttempts || j.refusals >= d.maxRefusals(j) {
+	if !d.hasAttemptsLeft(j) {
 		return false
 	}
-	if j.arrivals == 0 {
-		return true
-	}
+	return j.arrivals == 0 || d.takeRetry(j)
+}
+
+// hasAttemptsLeft reports whether the bounds on attempts and on refusals leave the call another attempt.
+func (d *Dispatcher) hasAttemptsLeft(j *job) bool {
+	return j.runs < j.route.MaxAttempts && j.refusals < d.maxRefusals(j)
+}
+
+// takeRetry reports whether the call has an unsent repeat, or takes one from the budget. Of successive denials,
+// only the first is recorded.
+func (d *Dispatcher) takeRetry(j *job) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if j.retryBudget.HasUnsentRepeat() {
@@ -352,7 +367,10 @@
 	now := d.clock.Now()
 	before := d.rationer.State(now, j.retryBudget)
 	allowed := d.rationer.TakeRepeat(now, j.retryBudget)
-	d.recordRetry(j, j.arrivals, allowed, before)
+	if allowed || !j.retryDenied {
+		d.recordRetry(j, j.arrivals, allowed, before)
+	}
+	j.retryDenied = !allowed
 	return allowed
 }
 
