Keep calls that have run when an entry with newer traffic rules refuses them

What callers saw: beside a change of the API keys, streams that were cut and 502, although the key was valid when the call was admitted and the upstream that had run it did not fail.

Cause: an entry that gave an attempt up offered the call to another entry. That one had a newer configuration, without the key, and refused with 401. The first entry took this for the last word: a call that has run cannot be told "unauthorised", so it was cut or failed. A route that is dropped does the same with 404.

TestStreamGoesOnAfterAnEntryWithANewerConfigurationRefusesIt fails on the code before in both cases.

A call that has run goes elsewhere after such a refusal, as after one for want of an upstream, and waits if there is none. Calls that have not run still end with the refusal.

--- a/relay/dispatcher/await_test.go
+++ b/relay/dispatcher/await_test.go
@@ -39,10 +39,7 @@
 			relays := &fakeRelays{entries: 1, steps: []relayStep{{refusal: refusal(sequoiasill.NotRun, sequoiasill.CodeNoUpstream, 503)}}}
 			d := newRelayingDispatcher(t, c, u, paths, relays)
 			if tc.lost {
-				time.AfterFunc(500*time.Millisecond, func() {
-					paths.set(pathmonitor.Unreachable)
-					d.PathsLost("plain")
-				})
+				losePaths(d, paths, 500*time.Millisecond)
 				time.AfterFunc(900*time.Millisecond, func() {
 					paths.set(pathmonitor.Reachable)
 					d.PathsRestored("plain")
@@ -58,6 +55,29 @@
 	}
 }
 
+// Guards against LOST: a stream was cut as another entry no longer knew its key or route after a change of the
+// configuration.
+func TestStreamGoesOnAfterAnEntryWithANewerConfigurationRefusesIt(t *testing.T) {
+	const event1, event2 = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for name, f := range map[string]*sequoiasill.Failure{
+		"the key is dropped":   refusal(sequoiasill.NotRun, sequoiasill.CodeUnauthorised, 401),
+		"the route is dropped": refusal(sequoiasill.NotRun, sequoiasill.CodeNotFound, 404),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, u := &fakeTransport{steps: []step{{status: 200, events: true, body: event1, stalls: true}}}, &fakePeers{usageCounts: make(map[string]int)}
+			paths, relays := &fakePaths{}, &fakeRelays{entries: 2, steps: []relayStep{{refusal: f}, {status: 200, events: true, body: event2, runs: 2}}}
+			d := newRelayingDispatcher(t, c, u, paths, relays)
+			losePaths(d, paths, 500*time.Millisecond)
+			var got reply
+			d.Serve(context.Background(), call("/quick/x", "key"), &got)
+			if diff := cmp.Diff(reply{Status: 200, Body: event1 + event2, Ended: true}, got); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A call that waits for an upstream ends with an answer before its entry does.
 func TestCallThatWaitsIsAnsweredBeforeTheEntryEnds(t *testing.T) {
 	notSent := step{fail: true, verdict: sequoiasill.NotRun}
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -140,11 +140,10 @@
 		return t.conclude(classifier.End{Kind: classifier.Failed}, "failed at another entry", f.Message, "status", f.Status)
 	}
 	t.arrivals += refusal.Arrivals
-	switch f.Code {
-	case sequoiasill.CodeNoUpstream, sequoiasill.CodeLeaving, sequoiasill.CodeOverloaded:
-		return t.conclude(classifier.End{Kind: classifier.NotSent}, "refused by another entry", f.Message, "status", f.Status, "code", string(f.Code))
+	next, reason := t.conclude(classifier.End{Kind: classifier.NotSent}, "refused by another entry", f.Message, "status", f.Status, "code", string(f.Code))
+	if t.mayRelayAgain(f.Code) {
+		return next, reason
 	}
-	t.conclude(classifier.End{Kind: classifier.NotSent}, "refused by another entry", f.Message, "status", f.Status, "code", string(f.Code))
 	if t.runs > 0 || t.headerSent || ctx.Err() != nil {
 		return stop, f.Message
 	}
@@ -153,6 +152,18 @@
 	return done, ""
 }
 
+// mayRelayAgain reports whether a call that another entry refused may go elsewhere. One that has run under the
+// traffic rules of this entry does not end because another entry has newer rules.
+func (t *try) mayRelayAgain(code sequoiasill.Code) bool {
+	switch code {
+	case sequoiasill.CodeNoUpstream, sequoiasill.CodeLeaving, sequoiasill.CodeOverloaded:
+		return true
+	case sequoiasill.CodeUnauthorised, sequoiasill.CodeNotFound:
+		return t.runs > 0
+	}
+	return false
+}
+
 // AcceptRelayed decides whether this entry would serve a call of a service for another one, whose
 // traffic rules have the given version. It returns the refusal if not.
 func (d *Dispatcher) AcceptRelayed(service string, trafficVersion uint64) *sequoiasill.Failure {
--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -433,6 +433,14 @@
 	}
 }
 
+// losePaths loses the paths of a dispatcher after a time.
+func losePaths(d *dispatcher.Dispatcher, paths *fakePaths, after time.Duration) {
+	time.AfterFunc(after, func() {
+		paths.set(pathmonitor.Unreachable)
+		d.PathsLost("plain")
+	})
+}
+
 // An attempt that no longer progresses goes to another entry once no upstream is reached.
 func TestStalledAttemptIsRelayedWhenPathsAreLost(t *testing.T) {
 	tests := map[string]struct {
@@ -450,10 +458,7 @@
 			c, u := &fakeTransport{steps: []step{{hang: true}}}, &fakePeers{usageCounts: make(map[string]int)}
 			paths, relays := &fakePaths{}, &fakeRelays{entries: 1, steps: []relayStep{{status: 200, events: true, body: "id: 1\ndata: a\n\n", runs: 2}}}
 			d := newRelayingDispatcher(t, c, u, paths, relays)
-			time.AfterFunc(tc.wait, func() {
-				paths.set(pathmonitor.Unreachable)
-				d.PathsLost("plain")
-			})
+			losePaths(d, paths, tc.wait)
 			d.Serve(context.Background(), call(tc.path, "key"), &reply{})
 			if diff := cmp.Diff(tc.relayed, len(relays.calls)); diff != "" {
 				t.Errorf("relayed calls (-want +got):\n%s", diff)
@@ -468,10 +473,7 @@
 	c, u := &fakeTransport{steps: []step{{fail: true, verdict: sequoiasill.MayHaveRun}, {status: 200, body: "good", delay: 800}}}, &fakePeers{usageCounts: make(map[string]int)}
 	paths, relays := &fakePaths{}, &fakeRelays{entries: 1, steps: []relayStep{{status: 200, body: "relayed", runs: 2}}}
 	d := newRelayingDispatcher(t, c, u, paths, relays)
-	time.AfterFunc(500*time.Millisecond, func() {
-		paths.set(pathmonitor.Unreachable)
-		d.PathsLost("plain")
-	})
+	losePaths(d, paths, 500*time.Millisecond)
 	var got reply
 	d.Serve(context.Background(), call("/read/x", "key"), &got)
 	if diff := cmp.Diff(reply{Status: 200, Body: "good", Ended: true}, got); diff != "" {
