Complete streams that are resumed after their last event

What callers saw: a stream of which all events had come was cut.

Cause: a stream without framing ends with its connection. When that end did not come, as the upstream was silent, the stream was resumed at another upstream after its last event. The response there had no event and ended with its connection, and such a response counts as one that broke off; the call was also charged with a crash.

The case "a stream that is resumed after its last event" fails on the code before.

Before the first event of a call, such an end is still taken for a crash. After it, the response is complete if its upstream outlived it, as for all others without framing; a second case holds the end of the upstream against it.

--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -389,6 +389,16 @@
 			"/once/x", "key", []step{{status: 200, untilClose: true, body: "good"}}, reply{Status: 200, Body: "good", Ended: true}, 1, 1},
 		"a stream that ends with its connection before its first event": {
 			"/long/x", "key", []step{{status: 200, events: true, untilClose: true}}, reply{Status: 502, Ended: true}, 1, 0},
+		"a stream that is resumed after its last event": {
+			"/quick/x", "key", []step{
+				{status: 200, events: true, untilClose: true, body: "id: 1\ndata: a\n\n", broken: true},
+				{status: 200, events: true, untilClose: true}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\n", Ended: true}, 2, 1},
+		"a stream that is resumed after its last event and ends with its upstream": {
+			"/quick/x", "key", []step{
+				{status: 200, events: true, untilClose: true, body: "id: 1\ndata: a\n\n", broken: true},
+				{status: 200, events: true, untilClose: true, gone: true}},
+			reply{Status: 200, Body: "id: 1\ndata: a\n\n", WasCut: true}, 2, 1},
 		"a stream without an event that ends as its framing says": {
 			"/long/x", "key", []step{{status: 200, events: true}}, reply{Status: 200, Ended: true}, 1, 1},
 		"a resumed stream that starts over is cut": {
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -96,9 +96,10 @@
 
 // end handles the end of the stream, with the bytes after its last complete event. A stream that
 // ends inside an event broke off, and so did one that ended with its connection before its first
-// event or with its upstream. A stream without events is delivered as a header.
+// event or with its upstream. One that is resumed after its last event has no more events. A stream without
+// events is delivered as a header.
 func (f *forwarder) end(ctx context.Context, rest []byte) error {
-	if len(rest) > 0 || f.delivered == 0 && f.response.UntilClose {
+	if len(rest) > 0 || f.delivered == 0 && f.response.UntilClose && !f.headerSent {
 		return io.ErrUnexpectedEOF
 	}
 	if err := f.response.complete(ctx); err != nil {
