Count a relayed call as run elsewhere only if an upstream there received it

Cause: the entry that a call was relayed to accepted it, as it had sent no request to the service yet, and its first connect timed out. It needed a repeat of its own budget for the next one, since the run at the first entry counted as an arrival, and was denied. Its failure then told that the call may have run, which was true only of the first entry; that one counted another run and was out of attempts.

TestRelayedCallThatWasNotSentMayGoElsewhere and TestRelayedCallNeedsNoRepeatBeforeItsFirstArrival fail on the code before with 502.

A failure that tells no more runs than before, and no arrivals, leaves the attempts and the repeat to the call. The repeat of the entry that relays a call pays for the first arrival at the other one. Older entries do not tell arrivals; for them one is assumed, as before.

--- a/relay/dispatcher/await_test.go
+++ b/relay/dispatcher/await_test.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/hashicorp/go-hclog"
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
+	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
 // Guards against LOST: calls whose attempts were given up ended at once if all upstreams were silent for a
@@ -78,6 +80,57 @@
 	}
 }
 
+// Guards against LOST: an entry that could not connect for a relayed call told its earlier run elsewhere as one
+// of its own, and the call was out of attempts.
+func TestRelayedCallThatWasNotSentMayGoElsewhere(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first relayStep
+		want  reply
+	}{
+		"no upstream received it there": {relayStep{refusal: refusal(sequoiasill.MayHaveRun, sequoiasill.CodeUpstreamFailed, 502), runs: 1},
+			reply{Status: 200, Body: "good", Ended: true}},
+		"an upstream received it there": {relayStep{refusal: refusal(sequoiasill.MayHaveRun, sequoiasill.CodeUpstreamFailed, 502), runs: 2, arrivals: 1},
+			reply{Status: 502, Ended: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, u := &fakeTransport{steps: []step{{hang: true}}}, &fakePeers{usageCounts: make(map[string]int)}
+			paths, relays := &fakePaths{}, &fakeRelays{entries: 2, steps: []relayStep{tc.first, {status: 200, body: "good", runs: 2}}}
+			d := newRelayingDispatcher(t, c, u, paths, relays)
+			losePaths(d, paths, 500*time.Millisecond)
+			var got reply
+			d.Serve(context.Background(), call("/quick/x", "key"), &got)
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against LOST: an entry with an empty retry budget gave up a relayed call after its first connect failed.
+// The entry that relayed the call has paid for one arrival.
+func TestRelayedCallNeedsNoRepeatBeforeItsFirstArrival(t *testing.T) {
+	notSent := step{fail: true, verdict: sequoiasill.NotRun}
+	for name, tc := range map[string]struct {
+		steps []step
+		want  reply
+	}{
+		"not sent": {[]step{notSent, {status: 200, body: "good"}}, reply{Status: 200, Body: "good", Ended: true}},
+		"rejected": {[]step{{status: 503, refused: true}, {status: 200, body: "good"}}, reply{Status: 502, Ended: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, u := &fakeTransport{steps: tc.steps}, &fakePeers{usageCounts: make(map[string]int)}
+			empty := rationer.New(rationer.Limits{Window: 1000}, 1)
+			d := newDispatcherOf(c, u, soundScreener(), &fakePaths{}, &fakeRelays{}, empty, hclog.NewNullLogger())
+			got := &relayReply{}
+			d.ServeRelayed(context.Background(), call("/read/x", "key"), 1, got)
+			if diff := cmp.Diff(tc.want, got.reply); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A call that waits for an upstream ends with an answer before its entry does.
 func TestCallThatWaitsIsAnsweredBeforeTheEntryEnds(t *testing.T) {
 	notSent := step{fail: true, verdict: sequoiasill.NotRun}
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -54,8 +54,8 @@
 func (e *RefusalError) Ran() sequoiasill.Verdict { return e.Failure.Verdict }
 
 // sendResult returns the result for the retry budget: without an arrival at an upstream, nothing was sent.
-func (e *RefusalError) sendResult() rationer.SendResult {
-	if e.Failure.Verdict == sequoiasill.NotRun && e.Arrivals == 0 {
+func (e *RefusalError) sendResult(runsBefore int) rationer.SendResult {
+	if e.Arrivals == 0 && (e.Failure.Verdict == sequoiasill.NotRun || e.Runs <= runsBefore) {
 		return rationer.NotSent
 	}
 	return rationer.Answered
@@ -118,7 +118,7 @@
 	switch {
 	case errors.As(err, &refusal):
 		timer.stop()
-		d.recordSendEnd(send, refusal.sendResult())
+		d.recordSendEnd(send, refusal.sendResult(j.runs))
 		return t.handleRelayRefusal(ctx, refusal)
 	case err != nil:
 		timer.stop()
@@ -134,7 +134,8 @@
 // an upstream may go to another entry.
 func (t *try) handleRelayRefusal(ctx context.Context, refusal *RefusalError) (nextStep, string) {
 	f := refusal.Failure
-	if f.Verdict != sequoiasill.NotRun {
+	ranThere := refusal.Arrivals > 0 || refusal.Runs > t.runs
+	if f.Verdict != sequoiasill.NotRun && ranThere {
 		t.arrivals += max(refusal.Arrivals, 1)
 		t.runs = max(t.runs+1, refusal.Runs)
 		return t.conclude(classifier.End{Kind: classifier.Failed}, "failed at another entry", f.Message, "status", f.Status)
@@ -153,12 +154,12 @@
 }
 
 // mayRelayAgain reports whether a call that another entry refused may go elsewhere. One that has run under the
-// traffic rules of this entry does not end because another entry has newer rules.
+// traffic rules of this entry does not end because another entry has newer rules, or found no upstream for it.
 func (t *try) mayRelayAgain(code sequoiasill.Code) bool {
 	switch code {
 	case sequoiasill.CodeNoUpstream, sequoiasill.CodeLeaving, sequoiasill.CodeOverloaded:
 		return true
-	case sequoiasill.CodeUnauthorised, sequoiasill.CodeNotFound:
+	case sequoiasill.CodeUnauthorised, sequoiasill.CodeNotFound, sequoiasill.CodeUpstreamFailed:
 		return t.runs > 0
 	}
 	return false
@@ -205,7 +206,7 @@
 	defer d.relayedCalls.Add(-1)
 	d.serve(ctx, call, nil, func(j *job) {
 		j.relayed = true
-		j.runs, j.arrivals = runs, runs
+		j.runs, j.arrivals, j.arrivalsElsewhere = runs, runs, runs
 		j.reply = &countingWriter{RelayWriter: reply, job: j, arrivalsBefore: runs}
 	})
 }
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -34,22 +34,25 @@
 	testsPart      bool              // the call tests whether its quarantined parts still crash upstreams
 	retryBudget    *rationer.Call
 
-	tried        map[string]bool
-	triedPeers   map[string]bool // entries to which the call was offered
-	relayed      bool            // another entry relayed the call
-	notSent      int             // upstreams to which no connection could be made
-	unanswered   []string        // tried upstreams to which no connection could be made, or whose attempts were given up
-	gaveUp       bool            // an attempt was cancelled for want of a response
-	awaited      bool            // the call has waited for an upstream
-	arrivals     int             // upstreams that the call reached
-	runs         int             // those that may have run it
-	refusals     int
-	denials      int       // permits denied by rate limits
-	retryDenied  bool      // the retry budget was exhausted at the last check
-	usageCounted bool      // the call is in its organisation's usage
-	headerSent   bool      // the header of a stream was sent to the caller
-	events       numbering // of the events that were sent to the caller
-	fallback     *fallbackResponse
+	tried      map[string]bool
+	triedPeers map[string]bool // entries to which the call was offered
+	relayed    bool            // another entry relayed the call
+	notSent    int             // upstreams to which no connection could be made
+	unanswered []string        // tried upstreams to which no connection could be made, or whose attempts were given up
+	gaveUp     bool            // an attempt was cancelled for want of a response
+	awaited    bool            // the call has waited for an upstream
+	arrivals   int             // upstreams that the call reached
+	// arrivalsElsewhere are those of them that it reached from the entry that relayed it, which took a repeat for
+	// one more arrival.
+	arrivalsElsewhere int
+	runs              int // those that may have run it
+	refusals          int
+	denials           int       // permits denied by rate limits
+	retryDenied       bool      // the retry budget was exhausted at the last check
+	usageCounted      bool      // the call is in its organisation's usage
+	headerSent        bool      // the header of a stream was sent to the caller
+	events            numbering // of the events that were sent to the caller
+	fallback          *fallbackResponse
 }
 
 // isLastRun reports whether the call may not be retried once another upstream has run it.
@@ -348,7 +351,7 @@
 	if !d.hasAttemptsLeft(j) {
 		return false
 	}
-	return j.arrivals == 0 || d.takeRetry(j)
+	return j.arrivals == j.arrivalsElsewhere || d.takeRetry(j)
 }
 
 // hasAttemptsLeft reports whether the bounds on attempts and on refusals leave the call another attempt.
