--- a/relay/dispatcher/attempttimeout.go
+++ b/relay/dispatcher/attempttimeout.go
@@ -9,7 +9,7 @@
 )
 
 // retryCheckInterval is the interval of checks whether a slow attempt can be replaced by a
-// retry. Retry budgets refill within seconds, and callers do not notice a shorter delay.
+// retry, and whether a call that was given up can be retried. Retry budgets refill within seconds, and callers do not notice a shorter delay.
 const retryCheckInterval = 50 * sequoiasill.Millis(1)
 
 // attemptTimer cancels an attempt whose response does not start in time, as soon as the call
@@ -30,7 +30,7 @@
 // attempt ends. An entry that serves a relayed call has timers of its own.
 func newAttemptTimer(t *try) *attemptTimer {
 	g := &attemptTimer{try: t, timeout: t.route.TargetLatency * sequoiasill.Millis(t.d.opts.AttemptTimeoutPercent) / 100}
-	if t.relay || !t.route.MayRetry() || t.runs+1 >= t.route.MaxAttempts || g.timeout <= 0 || t.deadline-t.started < 2*g.timeout {
+	if t.relay || t.last || g.timeout <= 0 || t.deadline-t.started < 2*g.timeout {
 		g.stopped = true
 		return g
 	}
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -53,6 +53,14 @@
 // Ran returns the verdict.
 func (e *RefusalError) Ran() sequoiasill.Verdict { return e.Failure.Verdict }
 
+// sendResult returns the result for the retry budget: without an arrival at an upstream, nothing was sent.
+func (e *RefusalError) sendResult(runsBefore int) rationer.SendResult {
+	if e.Arrivals == 0 && (e.Failure.Verdict == sequoiasill.NotRun || e.Runs <= runsBefore) {
+		return rationer.NotSent
+	}
+	return rationer.Answered
+}
+
 // pickRelay chooses an entry that serves the call on behalf of this one. A call that another entry
 // relayed here is not relayed again.
 func (d *Dispatcher) pickRelay(j *job) (*peerpicker.Peer, bool) {
@@ -111,7 +119,7 @@
 	switch {
 	case errors.As(err, &refusal):
 		timer.stop()
-		d.recordSendEnd(send, rationer.Answered)
+		d.recordSendEnd(send, refusal.sendResult(j.runs))
 		return t.handleRelayRefusal(ctx, refusal)
 	case err != nil:
 		timer.stop()
@@ -138,17 +146,17 @@
 // an upstream may go to another entry.
 func (t *try) handleRelayRefusal(ctx context.Context, refusal *RefusalError) (nextStep, string) {
 	f := refusal.Failure
-	if f.Verdict != sequoiasill.NotRun {
+	ranThere := refusal.Arrivals > 0 || refusal.Runs > t.runs
+	if f.Verdict != sequoiasill.NotRun && ranThere {
 		t.arrivals += max(refusal.Arrivals, 1)
 		t.runs = max(t.runs+1, refusal.Runs)
 		return t.conclude(classifier.End{Kind: classifier.Failed}, "failed at another entry", f.Message, "status", f.Status)
 	}
 	t.arrivals += refusal.Arrivals
-	switch f.Code {
-	case sequoiasill.CodeNoUpstream, sequoiasill.CodeLeaving, sequoiasill.CodeOverloaded:
-		return t.conclude(classifier.End{Kind: classifier.NotSent}, "refused by another entry", f.Message, "status", f.Status, "code", string(f.Code))
+	next, reason := t.conclude(classifier.End{Kind: classifier.NotSent}, "refused by another entry", f.Message, "status", f.Status, "code", string(f.Code))
+	if t.mayRelayAgain(f.Code) {
+		return next, reason
 	}
-	t.conclude(classifier.End{Kind: classifier.NotSent}, "refused by another entry", f.Message, "status", f.Status, "code", string(f.Code))
 	if t.runs > 0 || t.headerSent || ctx.Err() != nil {
 		return stop, f.Message
 	}
@@ -157,6 +165,18 @@
 	return done, ""
 }
 
+// mayRelayAgain reports whether a call that another entry refused may go elsewhere. One that has run under the
+// traffic rules of this entry does not end because another entry has newer rules, or found no upstream for it.
+func (t *try) mayRelayAgain(code sequoiasill.Code) bool {
+	switch code {
+	case sequoiasill.CodeNoUpstream, sequoiasill.CodeLeaving, sequoiasill.CodeOverloaded:
+		return true
+	case sequoiasill.CodeUnauthorised, sequoiasill.CodeNotFound, sequoiasill.CodeUpstreamFailed:
+		return t.runs > 0
+	}
+	return false
+}
+
 // AcceptRelayed decides whether this entry would serve a call of a service for another one, whose
 // traffic rules have the given version. It returns the refusal if not.
 func (d *Dispatcher) AcceptRelayed(service string, trafficVersion uint64) *sequoiasill.Failure {
@@ -198,7 +218,7 @@
 	defer d.relayedCalls.Add(-1)
 	d.serve(ctx, call, nil, func(j *job) {
 		j.relayed = true
-		j.runs, j.arrivals = runs, runs
+		j.runs, j.arrivals, j.arrivalsElsewhere = runs, runs, runs
 		j.reply = &countingWriter{RelayWriter: reply, job: j, arrivalsBefore: runs}
 	})
 }
@@ -271,13 +291,13 @@
 const stalledTime = 400 * sequoiasill.Millis(1)
 
 // PathsLost cancels the attempts at a service that do not progress any more, now that this entry
-// reaches no upstream of it, if their calls may be retried and the retry budget allows it.
+// reaches no upstream of it, if their calls may be retried after this attempt and the retry budget allows it.
 func (d *Dispatcher) PathsLost(service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	for t := range d.tries {
-		if t.service != service || !t.route.MayRetry() || now-t.lastData < stalledTime {
+		if t.service != service || t.last || now-t.lastData < stalledTime {
 			continue
 		}
 		if _, ok := d.pickRelay(t.job); ok && d.rationer.TakeRepeat(now, t.retryBudget) {
