A stop answers the calls that are in progress at its end

Callers saw, in a planned stop without other trouble, requests that were passed on and then cut at the end of the grace period with no answer, among them requests that run once; a request whose body was not complete by then ended in the same way. Cause: at the end, the acceptor closed the connections under calls that went on; nothing told the dispatcher that their time was over, so they were logged as callers that left, if at all.

A stream whose header was sent is cut as before, and logged as such. What the entry itself ended counts against no upstream, version or path and is not repeated. The log names the shutdown, sequoia_shutdown_calls_total counts by outcome.

--- a/decide/classifier/classifier.go
+++ b/decide/classifier/classifier.go
@@ -35,7 +35,8 @@
 type End struct {
 	Kind               Kind
 	CallerDisconnected bool               // the caller disconnected
-	EndedHere          bool               // ended by this entry: the caller disconnected or the deadline passed
+	EndedHere          bool               // ended by this entry: the caller disconnected, the deadline passed or the entry shuts down
+	Shutdown           bool               // the entry shuts down
 	ClosedByUpstream   bool               // the connection ended with the upstream's own close, not with a reset or a timeout
 	Pause              sequoiasill.Millis // requested by the upstream with status 503, 0 for none
 }
@@ -68,7 +69,7 @@
 
 func (e End) registrarOutcome() registrar.Outcome {
 	switch {
-	case e.CallerDisconnected || e.Kind == Withheld:
+	case e.CallerDisconnected || e.Shutdown || e.Kind == Withheld:
 		return registrar.Abandoned
 	case e.Pause > 0:
 		// An upstream that requests a pause is healthy; it is enough to observe the pause.
@@ -99,7 +100,7 @@
 	switch {
 	case e.Kind == NotSent, e.Kind == Withheld, e.Kind == Refused:
 		return RetryAny
-	case e.CallerDisconnected || e.Kind == Succeeded:
+	case e.CallerDisconnected || e.Shutdown || e.Kind == Succeeded:
 		return NoRetry
 	}
 	return RetryRepeatable
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -95,7 +95,7 @@
 // classifySendError returns the end of a send without a response. Bytes that were written may
 // still reach the upstream, unless it closed the connection.
 func classifySendError(ctx context.Context, err error, withheld bool) classifier.End {
-	e := classifier.End{EndedHere: ctx.Err() != nil, CallerDisconnected: callerDisconnected(ctx), ClosedByUpstream: isClose(err)}
+	e := classifier.End{EndedHere: ctx.Err() != nil, CallerDisconnected: callerDisconnected(ctx), Shutdown: endedByShutdown(ctx), ClosedByUpstream: isClose(err)}
 	var timeout net.Error
 	switch {
 	case withheld:
@@ -323,7 +323,8 @@
 	}
 	// The response to this call may still follow one that is not the upstream's.
 	a.Close(err == nil && a.Authentic)
-	e := classifier.End{Kind: classifier.UnexpectedResponse, CallerDisconnected: callerDisconnected(ctx), Pause: a.Pause, ClosedByUpstream: isClose(err)}
+	shutdown := endedByShutdown(ctx)
+	e := classifier.End{Kind: classifier.UnexpectedResponse, CallerDisconnected: callerDisconnected(ctx), Shutdown: shutdown, EndedHere: shutdown, Pause: a.Pause, ClosedByUpstream: isClose(err)}
 	switch {
 	case e.CallerDisconnected:
 		return t.conclude(e, "caller left", "caller left")
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -168,6 +168,8 @@
 	PermitDecided(granted, lifted bool)
 	// CrashCharged counts a call that is charged with the crash of its upstream.
 	CrashCharged()
+	// ShutdownEnded counts a call that the shutdown refused or ended, by how.
+	ShutdownEnded(how string)
 }
 
 // Options configure a Dispatcher.
@@ -229,10 +231,12 @@
 	log           hclog.Logger
 	traffic       atomic.Pointer[sequoiasill.Traffic]
 	active        atomic.Int64
-	relayedCalls  atomic.Int64 // calls in progress that other entries relayed
-	doubtCount    atomic.Int64 // failures that are not attributed yet
-	bufferedBytes atomic.Int64 // bytes of responses that are held in memory
-	shutdownAt    atomic.Int64 // time at which the entry shuts down, 0 if none is set
+	relayedCalls  atomic.Int64    // calls in progress that other entries relayed
+	doubtCount    atomic.Int64    // failures that are not attributed yet
+	bufferedBytes atomic.Int64    // bytes of responses that are held in memory
+	shutdownAt    atomic.Int64    // time at which the shutdown ends the remaining calls, 0 if none is set
+	callsEnd      context.Context // cancelled at that time
+	endCalls      context.CancelFunc
 
 	doubtMu sync.Mutex
 	doubts  map[string][]doubt // failures that are not attributed yet, by service
@@ -252,7 +256,9 @@
 // New returns a dispatcher without traffic rules, which refuses calls until SetTraffic
 // provides them.
 func New(opts Options, transport Transport, peers Peers, moves Moves, screener Screener, paths Paths, relays Relays, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
+	callsEnd, endCalls := context.WithCancel(context.Background())
 	return &Dispatcher{
+		callsEnd: callsEnd, endCalls: endCalls,
 		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, paths: paths, relays: relays, meter: meter, clock: clock, log: log.Named("dispatcher"),
 		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad), tries: make(map[*try]bool), doubts: make(map[string][]doubt), breaks: make(map[string][]pathBreak),
 	}
@@ -331,9 +337,6 @@
 	return allotter.Totals{Demand: d.allotter.Demand(d.clock.Now()), Spent: d.allotter.Spent()}
 }
 
-// SetShutdownTime sets the time at which the entry shuts down.
-func (d *Dispatcher) SetShutdownTime(at sequoiasill.Millis) { d.shutdownAt.Store(int64(at)) }
-
 // Active returns the number of calls in progress.
 func (d *Dispatcher) Active() int { return int(d.active.Load()) }
 
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -75,11 +75,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, (j.deadline - d.clock.Now()).Duration())
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer d.OnCallsEnd(func() { end(errShutdown) })()
 	d.run(ctx, j)
 }
 
 func (d *Dispatcher) refuse(call *sequoiasill.Call, reply ResponseWriter, f *sequoiasill.Failure) {
 	d.meter.Refused(f.Code)
+	d.countShutdown(f)
 	d.log.Info("refused", "request", call.ID, "status", f.Status, "code", string(f.Code), "reason", f.Message, "verdict", f.Verdict.String(),
 		"retryAfter", f.RetryAfter, "after", d.clock.Now()-call.ArrivedAt)
 	reply.Refuse(f)
@@ -120,8 +124,7 @@
 			"no time left on arrival")
 	}
 	if end := sequoiasill.Millis(d.shutdownAt.Load()); end > 0 && route.Kind == sequoiasill.Streaming && end-d.clock.Now() < d.opts.TypicalStreamDuration {
-		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeLeaving, http.StatusServiceUnavailable,
-			"entry ends in %s", end-d.clock.Now()).WithRetryAfter(drainRetryAfter)
+		return leaving("entry ends in %s", end-d.clock.Now())
 	}
 	j.fingerprint = fingerprint(call, j.account)
 	if failure := d.checkQuarantine(j); failure != nil {
@@ -138,10 +141,6 @@
 	return nil
 }
 
-// drainRetryAfter is the delay before a retry for callers that a draining entry refuses. It is
-// short, as other entries can serve them at once.
-const drainRetryAfter = 20 * sequoiasill.Millis(1)
-
 // takeQuota charges the cost of the call to the organisation's quota, and counts the call
 // towards the retry budget of its service. For a relayed call, the entry that relayed it does both. If the quota is exhausted, it returns false and the
 // time to wait before a retry.
@@ -357,6 +356,11 @@
 func (d *Dispatcher) finish(ctx context.Context, j *job, reason string) {
 	elapsed := d.clock.Now() - j.call.ArrivedAt
 	switch {
+	case j.headerSent && endedByShutdown(ctx):
+		d.meter.ShutdownEnded(shutdownCut)
+		d.meter.CallEnded(j.route.Kind, "cut", elapsed)
+		d.log.Info("stream cut", "request", j.call.ID, "reason", errShutdown.Error(), "event", j.events.last, "after", elapsed, "left", j.deadline-d.clock.Now())
+		j.reply.Abort()
 	case j.headerSent:
 		d.meter.CallEnded(j.route.Kind, "cut", elapsed)
 		d.log.Info("stream cut", "request", j.call.ID, "reason", reason, "event", j.events.last, "after", elapsed)
@@ -371,6 +375,11 @@
 		if err := j.reply.SendWhole(j.fallback.status, j.fallback.header, j.fallback.body); err != nil {
 			d.log.Debug("response not delivered", "request", j.call.ID, "error", err)
 		}
+	case endedByShutdown(ctx):
+		if j.runs == 0 {
+			d.refundQuota(j)
+		}
+		d.refuse(j.call, j.reply, d.shutdownFailure(j))
 	case j.runs == 0:
 		d.refundQuota(j)
 		d.refuse(j.call, j.reply, sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeNoUpstream,
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -30,7 +30,7 @@
 	err := f.copy(ctx)
 	t.countRun(a)
 	a.Close(err == nil)
-	e := classifier.End{Kind: classifier.Truncated, CallerDisconnected: f.callerGone || callerDisconnected(ctx), EndedHere: ctx.Err() != nil, ClosedByUpstream: isClose(err)}
+	e := classifier.End{Kind: classifier.Truncated, CallerDisconnected: f.callerGone || callerDisconnected(ctx), Shutdown: endedByShutdown(ctx), EndedHere: ctx.Err() != nil, ClosedByUpstream: isClose(err)}
 	switch {
 	case err == nil:
 		t.clearSuspicion()
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -86,6 +86,11 @@
 // CrashCharged counts a call that is charged with the crash of its upstream.
 func (m *Meter) CrashCharged() { m.count("sequoia_crashes_charged_total") }
 
+// ShutdownEnded counts a call that the shutdown of the entry refused or ended, by how.
+func (m *Meter) ShutdownEnded(how string) {
+	m.count(fmt.Sprintf(`sequoia_shutdown_calls_total{end=%q}`, how))
+}
+
 // PartQuarantined counts a quarantine of a part of prompts that starts or is lifted, by whom it
 // was decided.
 func (m *Meter) PartQuarantined(lifted bool, source string) {
