A stop passes on only calls that it expects to answer

Callers saw requests that became complete late in the grace period of a planned stop passed on to an upstream, and ended by the stop a moment later, among them requests that run once. Cause: only streams were asked whether the time left suffices, and only on arrival; repeats, calls that waited for a connection or a permit and calls for other entries were not.

Before each attempt, and again before its first byte is written, the time until the shutdown is compared with the time that an attempt on the route usually takes: nine of ten of its last 32 answered attempts, or until ten are known the attempt timeout, which follows from the target latency, else a typical duration by kind. A call whose deadline comes first is passed on, as the shutdown takes nothing from it. The others are refused at once, as not run, with a short Retry-After, so that another entry serves them. Streams that are known to be short are served longer than before. Upstreams and other entries are told the shorter time, and no attempt is given up for a repeat that would not be made.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -67,7 +67,7 @@
 	defer cancel(nil)
 	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, started: d.clock.Now(), arrivalsBefore: j.arrivals, permit: p.permit, cancel: cancel}
 	a := Attempt{
-		Call: j.call, Replica: choice.Replica, Remaining: j.deadline - t.started, Priority: j.enginePriority(), ResumeAfter: j.events.last, MaySend: t.maySend,
+		Call: j.call, Replica: choice.Replica, Remaining: d.callEnd(j) - t.started, Priority: j.enginePriority(), ResumeAfter: j.events.last, MaySend: t.maySend,
 	}
 	if j.account != nil {
 		a.Organisation = j.account.Name
@@ -121,10 +121,10 @@
 }
 
 // maySend reports whether the upstream may still receive the call. It may have started to
-// drain, to pause or to limit its calls since it was chosen, or a part of the call's prompt may
-// have been quarantined.
+// drain, to pause or to limit its calls since it was chosen, a part of the call's prompt may have been
+// quarantined, or this entry may shut down too soon.
 func (t *try) maySend() bool {
-	if t.d.screen(t.job) != nil {
+	if t.d.screen(t.job) != nil || t.d.checkShutdown(t.job) != nil {
 		t.withheld = true
 		return false
 	}
@@ -242,7 +242,7 @@
 func (t *try) handleSendError(e classifier.End, err, cause error) (nextStep, string) {
 	switch e.Kind {
 	case classifier.Withheld:
-		return t.conclude(e, "withheld", "upstream leaves, rests or limits its calls, or the prompt is quarantined")
+		return t.conclude(e, "withheld", "upstream leaves, rests or limits its calls, the prompt is quarantined, or the entry shuts down")
 	case classifier.NotSent:
 		if !t.relay {
 			t.notSent++
@@ -348,6 +348,7 @@
 	t.clearSuspicion()
 	t.d.screener.RecordServed(t.parts)
 	e.Kind = classifier.Succeeded
+	t.d.durations.record(t.route.Name, t.d.clock.Now()-t.started)
 	t.conclude(e, "answered", "", "status", a.Status, "bytes", len(body))
 	if err := t.reply.SendWhole(a.Status, a.Header, body); err != nil {
 		t.d.log.Info("response not delivered", "request", t.call.ID, "error", err)
--- a/relay/dispatcher/attempttimeout.go
+++ b/relay/dispatcher/attempttimeout.go
@@ -25,12 +25,17 @@
 	retryDenied bool // the retry budget was exhausted at the last check
 }
 
+// attemptTimeout returns the attempt timeout of a route, 0 if the route has no target latency.
+func (d *Dispatcher) attemptTimeout(r *sequoiasill.TrafficRoute) sequoiasill.Millis {
+	return r.TargetLatency * sequoiasill.Millis(d.opts.AttemptTimeoutPercent) / 100
+}
+
 // newAttemptTimer starts a timer if the call may be retried and the deadline leaves time for
 // this attempt and another one. The caller must call stop when the response starts or the
 // attempt ends. An entry that serves a relayed call has timers of its own.
 func newAttemptTimer(t *try) *attemptTimer {
-	g := &attemptTimer{try: t, timeout: t.route.TargetLatency * sequoiasill.Millis(t.d.opts.AttemptTimeoutPercent) / 100}
-	if t.relay || !t.route.MayRetry() || t.runs+1 >= t.route.MaxAttempts || g.timeout <= 0 || t.deadline-t.started < 2*g.timeout {
+	g := &attemptTimer{try: t, timeout: t.d.attemptTimeout(t.route)}
+	if t.relay || !t.route.MayRetry() || t.runs+1 >= t.route.MaxAttempts || g.timeout <= 0 || t.d.callEnd(t.job)-t.started < 2*g.timeout {
 		g.stopped = true
 		return g
 	}
@@ -60,7 +65,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	if g.stopped || t.deadline-now < g.timeout {
+	if g.stopped || d.callEnd(t.job)-now < g.timeout || d.checkShutdown(t.job) != nil {
 		return
 	}
 	if !d.hasAlternative(now, t.job) || !g.takeRetry(now) {
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -198,14 +198,16 @@
 	// RetryAfter is the delay before a retry that is returned to callers if the state of the
 	// upstreams does not yield a better one.
 	RetryAfter sequoiasill.Millis
-	// TypicalStreamDuration is the duration that most streams stay below. A stream that arrives
-	// when the entry shuts down sooner is refused, so that another entry serves it.
+	// TypicalStreamDuration and TypicalCallDuration are the durations that most streams and other calls
+	// stay below. While the entry shuts down they decide what is still served on routes of which nothing
+	// better is known.
 	TypicalStreamDuration sequoiasill.Millis
+	TypicalCallDuration   sequoiasill.Millis
 }
 
 // DefaultOptions returns the options that entries use.
 func DefaultOptions() Options {
-	return Options{MaxResponseBytes: 4 << 20, MaxBufferedBytes: 24 << 20, SmallResponseBytes: 64 << 10, MaxRefusals: 4, MaxBrittleRefusals: 2, MaxDenials: 3, MaxRelays: 3, MaxRelayedCalls: 256, AttemptTimeoutPercent: 150, RetryAfter: 250, TypicalStreamDuration: 4 * sequoiasill.Second}
+	return Options{MaxResponseBytes: 4 << 20, MaxBufferedBytes: 24 << 20, SmallResponseBytes: 64 << 10, MaxRefusals: 4, MaxBrittleRefusals: 2, MaxDenials: 3, MaxRelays: 3, MaxRelayedCalls: 256, AttemptTimeoutPercent: 150, RetryAfter: 250, TypicalStreamDuration: 4 * sequoiasill.Second, TypicalCallDuration: 2 * sequoiasill.Second}
 }
 
 // StateMachines are the state machines that a dispatcher drives.
@@ -237,6 +239,7 @@
 	shutdownAt    atomic.Int64    // time at which the shutdown ends the remaining calls, 0 if none is set
 	callsEnd      context.Context // cancelled at that time
 	endCalls      context.CancelFunc
+	durations     *durations
 
 	doubtMu sync.Mutex
 	doubts  map[string][]doubt // failures that are not attributed yet, by service
@@ -258,7 +261,7 @@
 func New(opts Options, transport Transport, peers Peers, moves Moves, screener Screener, paths Paths, relays Relays, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
 	callsEnd, endCalls := context.WithCancel(context.Background())
 	return &Dispatcher{
-		callsEnd: callsEnd, endCalls: endCalls,
+		callsEnd: callsEnd, endCalls: endCalls, durations: newDurations(),
 		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, paths: paths, relays: relays, meter: meter, clock: clock, log: log.Named("dispatcher"),
 		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad), tries: make(map[*try]bool), doubts: make(map[string][]doubt), breaks: make(map[string][]pathBreak),
 	}
@@ -273,6 +276,7 @@
 			return false
 		}
 		if d.traffic.CompareAndSwap(old, t) {
+			d.durations.keepRoutes(t.Routes)
 			return true
 		}
 	}
--- a/relay/dispatcher/quarantine.go
+++ b/relay/dispatcher/quarantine.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"context"
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,16 +57,6 @@
 	return nil
 }
 
-// finishQuarantined ends a call whose prompt was quarantined after it was admitted.
-func (d *Dispatcher) finishQuarantined(ctx context.Context, j *job, failure *sequoiasill.Failure) {
-	if j.runs > 0 || j.headerSent || ctx.Err() != nil {
-		d.finish(ctx, j, failure.Message)
-		return
-	}
-	d.refundQuota(j)
-	d.refuse(j.call, j.reply, failure)
-}
-
 // recordCrash records that the upstream may have crashed under the call: it closed the
 // connection, or stopped acknowledging data, before its response or the first event of its
 // stream. It quarantines the request if there were too many such cases.
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -99,7 +99,7 @@
 	}
 	call := *j.call
 	call.LastEvent = j.events.last
-	call.Deadline = j.deadline
+	call.Deadline = d.callEnd(j)
 	d.mu.Lock()
 	send := d.rationer.Sent(t.started, j.retryBudget, peer.Name)
 	d.mu.Unlock()
@@ -265,7 +265,7 @@
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	for t := range d.tries {
-		if t.service != service || !t.route.MayRetry() || now-t.lastData < stalledTime {
+		if t.service != service || !t.route.MayRetry() || now-t.lastData < stalledTime || d.checkShutdown(t.job) != nil {
 			continue
 		}
 		if _, ok := d.pickRelay(t.job); ok && d.rationer.TakeRepeat(now, t.retryBudget) {
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -90,8 +90,8 @@
 }
 
 // admit looks up the route and the organisation, sets the deadline and charges the quota unless the
-// entry that relayed the call has done so. It refuses a call that has no time left, a stream that arrives shortly before a shutdown, and a
-// quarantined request.
+// entry that relayed the call has done so. It refuses a call that has no time left or that the shutdown
+// would break off, and a quarantined request.
 func (d *Dispatcher) admit(j *job) *sequoiasill.Failure {
 	call := j.call
 	t := d.traffic.Load()
@@ -123,8 +123,8 @@
 		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeDeadline, http.StatusServiceUnavailable,
 			"no time left on arrival")
 	}
-	if end := sequoiasill.Millis(d.shutdownAt.Load()); end > 0 && route.Kind == sequoiasill.Streaming && end-d.clock.Now() < d.opts.TypicalStreamDuration {
-		return leaving("entry ends in %s", end-d.clock.Now())
+	if failure := d.checkShutdown(j); failure != nil {
+		return failure
 	}
 	j.fingerprint = fingerprint(call, j.account)
 	if failure := d.checkQuarantine(j); failure != nil {
@@ -187,7 +187,11 @@
 	defer d.returnRetry(j)
 	for {
 		if failure := d.screen(j); failure != nil {
-			d.finishQuarantined(ctx, j, failure)
+			d.finishRefused(ctx, j, failure)
+			return
+		}
+		if failure := d.checkShutdown(j); failure != nil {
+			d.finishRefused(ctx, j, failure)
 			return
 		}
 		p, ok := d.nextPlacement(ctx, j)
@@ -352,6 +356,18 @@
 	return allowed
 }
 
+// finishRefused ends a call that may make no further attempt, with the given refusal if no upstream has
+// run it.
+func (d *Dispatcher) finishRefused(ctx context.Context, j *job, failure *sequoiasill.Failure) {
+	if j.runs > 0 || j.headerSent || ctx.Err() != nil {
+		d.countNoRetry(ctx, j, failure)
+		d.finish(ctx, j, failure.Message)
+		return
+	}
+	d.refundQuota(j)
+	d.refuse(j.call, j.reply, failure)
+}
+
 // finish ends a call without a good response of an upstream.
 func (d *Dispatcher) finish(ctx context.Context, j *job, reason string) {
 	elapsed := d.clock.Now() - j.call.ArrivedAt
--- a/relay/dispatcher/shutdown.go
+++ b/relay/dispatcher/shutdown.go
@@ -24,7 +24,8 @@
 	shutdownCut     = "cut"     // a stream
 )
 
-// SetShutdownTime sets the time at which the shutdown of the entry ends the remaining calls.
+// SetShutdownTime starts the shutdown of the entry: from now on, calls that are not expected to end by
+// the given time are refused, and at that time the remaining ones are ended.
 func (d *Dispatcher) SetShutdownTime(at sequoiasill.Millis) {
 	d.shutdownAt.Store(int64(at))
 	time.AfterFunc((at - d.clock.Now()).Duration(), d.endCalls)
@@ -44,6 +45,45 @@
 	return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeLeaving, http.StatusServiceUnavailable, format, args...).WithRetryAfter(drainRetryAfter)
 }
 
+// callEnd returns the time at which the call ends at the latest: its deadline, or earlier if the entry
+// shuts down.
+func (d *Dispatcher) callEnd(j *job) sequoiasill.Millis {
+	if end := sequoiasill.Millis(d.shutdownAt.Load()); end > 0 && end < j.deadline {
+		return end
+	}
+	return j.deadline
+}
+
+// checkShutdown returns the refusal of an attempt that the shutdown would probably break off. A call
+// whose deadline comes first loses nothing by the shutdown.
+func (d *Dispatcher) checkShutdown(j *job) *sequoiasill.Failure {
+	end := sequoiasill.Millis(d.shutdownAt.Load())
+	if end == 0 || j.deadline <= end {
+		return nil
+	}
+	left := max(end-d.clock.Now(), 0)
+	expected, basis := d.expectedDuration(j.route)
+	if left >= expected && left > 0 {
+		return nil
+	}
+	return leaving("entry shuts down in %s, the call is expected to take %s (%s)", left, expected, basis)
+}
+
+// expectedDuration returns the duration that an attempt is expected to stay within, and what that is
+// based on.
+func (d *Dispatcher) expectedDuration(r *sequoiasill.TrafficRoute) (sequoiasill.Millis, string) {
+	if usual, ok := d.durations.usual(r.Name); ok {
+		return usual, "measured"
+	}
+	switch {
+	case r.Kind == sequoiasill.Streaming:
+		return d.opts.TypicalStreamDuration, "typical stream"
+	case r.TargetLatency > 0:
+		return d.attemptTimeout(r), "target latency"
+	}
+	return d.opts.TypicalCallDuration, "typical call"
+}
+
 // endedByShutdown reports whether the shutdown has ended the call of a context.
 func endedByShutdown(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errShutdown) }
 
@@ -67,3 +107,14 @@
 		d.meter.ShutdownEnded(shutdownFailed)
 	}
 }
+
+// countNoRetry counts a call that is not retried, as the entry shuts down.
+func (d *Dispatcher) countNoRetry(ctx context.Context, j *job, f *sequoiasill.Failure) {
+	switch {
+	case f.Code != sequoiasill.CodeLeaving || ctx.Err() != nil:
+	case j.headerSent:
+		d.meter.ShutdownEnded(shutdownCut)
+	default:
+		d.meter.ShutdownEnded(shutdownFailed)
+	}
+}
--- a/relay/dispatcher/shutdown_test.go
+++ b/relay/dispatcher/shutdown_test.go
@@ -12,17 +12,78 @@
 	"github.com/hashicorp/go-hclog"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
 	"sequoiasill.dev/sequoiasill/relay/dispatcher"
 )
 
-// refusedLeaving is the refusal of a call that did not run, with a short Retry-After.
-var refusedLeaving = reply{Status: 503, Ended: true, RetryAfter: 20}
+var (
+	servedWhole  = reply{Status: 200, Body: "good", Ended: true}
+	servedStream = reply{Status: 200, Body: "id: 1\ndata: a\n\n", Ended: true}
+	// refusedLeaving is the refusal of a call that did not run, with a short Retry-After.
+	refusedLeaving = reply{Status: 503, Ended: true, RetryAfter: 20}
+)
 
 // shutDownIn lets the calls of d end after a time.
 func shutDownIn(d *dispatcher.Dispatcher, after sequoiasill.Millis) {
 	d.SetShutdownTime(sequoiasill.NewSystemClock().Now() + after)
 }
 
+// Guards against LOST: calls that the end of a planned stop would break off are not passed on, and those
+// that can be served are.
+func TestCallsLateInAShutdownAreRefused(t *testing.T) {
+	whole := step{status: 200, body: "good"}
+	events := step{status: 200, events: true, body: "id: 1\ndata: a\n\n"}
+	slowWhole := step{status: 200, body: "good", delay: 300}
+	tests := map[string]struct {
+		path     string
+		history  step               // of earlier calls, none without a status
+		left     sequoiasill.Millis // until calls end
+		deadline sequoiasill.Millis // until the call's
+		want     reply
+	}{
+		"runs once, late":                       {"/once/x", step{}, 100, 1500, refusedLeaving},
+		"runs once, in time":                    {"/once/x", step{}, 500, 1500, servedWhole},
+		"runs once, late by the calls before":   {"/once/x", slowWhole, 250, 1500, refusedLeaving},
+		"runs once, ends before anyway":         {"/once/x", slowWhole, 250, 200, servedWhole},
+		"may be repeated, late":                 {"/read/x", step{}, 100, 1500, refusedLeaving},
+		"stream, late":                          {"/long/x", step{}, 1000, 1500, refusedLeaving},
+		"stream, ends before anyway":            {"/long/x", step{}, 1000, 900, servedStream},
+		"stream, in time by the calls before":   {"/long/x", events, 1000, 1500, servedStream},
+		"resumable stream, late":                {"/quick/x", step{}, 1000, 1500, refusedLeaving},
+		"after the time at which the calls end": {"/once/x", step{}, 0, 1500, refusedLeaving},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := &fakeTransport{steps: []step{tc.history}}
+			d := newDispatcher(t, c, &fakePeers{usageCounts: make(map[string]int)})
+			if tc.history.status != 0 {
+				var done sync.WaitGroup
+				for range 10 {
+					done.Go(func() { d.Serve(context.Background(), call(tc.path, "key"), &reply{}) })
+				}
+				done.Wait()
+			}
+			before := len(c.attempts)
+			c.steps = append(make([]step, before), whole)
+			if tc.want.Body == servedStream.Body {
+				c.steps[before] = events
+			}
+			shutDownIn(d, tc.left)
+			k := call(tc.path, "key")
+			k.Deadline = k.ArrivedAt + tc.deadline
+			got := reply{}
+			d.Serve(context.Background(), k, &got)
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+			if passedOn := len(c.attempts) > before; passedOn != (tc.want.Status == 200) {
+				t.Errorf("passed on: %t", passedOn)
+			}
+		})
+	}
+}
+
 // hangingBody holds a text and does not end until the attempt is cancelled.
 type hangingBody struct {
 	io.Reader
@@ -127,3 +188,66 @@
 		}
 	}
 }
+
+// Guards against LOST: a call is not sent once more, to another entry or after a wait for a connection or
+// a permit, if the shutdown would break it off.
+func TestShutdownIsCheckedBeforeEachAttempt(t *testing.T) {
+	good := step{status: 200, body: "good"}
+	tests := map[string]struct {
+		path  string
+		state pathmonitor.State
+		steps []step
+		wait  time.Duration // before each send
+		relay relayStep
+		want  reply
+		sends int
+	}{
+		"after a wait":              {"/once/x", pathmonitor.Reachable, []step{good}, 200 * time.Millisecond, relayStep{}, refusedLeaving, 0},
+		"after an attempt that ran": {"/read/x", pathmonitor.Reachable, []step{{fail: true, verdict: sequoiasill.MayHaveRun, delay: 200}, good}, 0, relayStep{}, reply{Status: 502, Ended: true}, 1},
+		"after a refusal":           {"/once/x", pathmonitor.Reachable, []step{{status: 503, refused: true, delay: 200}, good}, 0, relayStep{}, refusedLeaving, 1},
+		"at another entry": {"/once/x", pathmonitor.Unreachable, nil, 0,
+			relayStep{refusal: refusal(sequoiasill.NotRun, sequoiasill.CodeLeaving, 503), delay: 200}, refusedLeaving, 1},
+		"instead of a slow attempt": {"/read/x", pathmonitor.Reachable, []step{{hang: true}, good}, 0, relayStep{}, reply{Status: 504, Ended: true}, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := &fakeTransport{steps: tc.steps, beforeSend: func(dispatcher.Attempt) { time.Sleep(tc.wait) }}
+			relays := &fakeRelays{entries: 3, steps: []relayStep{tc.relay}}
+			d := newRelayingDispatcher(t, c, &fakePeers{usageCounts: make(map[string]int)}, &fakePaths{state: tc.state}, relays)
+			shutDownIn(d, 280)
+			got := reply{}
+			d.Serve(context.Background(), call(tc.path, "key"), &got)
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("response (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tc.sends, len(c.attempts)+len(relays.calls)); diff != "" {
+				t.Errorf("sends (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against runs that nobody waits for: upstreams and other entries learn the time that is left until
+// the shutdown.
+func TestShutdownShortensTheTimeThatIsPassedOn(t *testing.T) {
+	for name, state := range map[string]pathmonitor.State{"to an upstream": pathmonitor.Reachable, "to another entry": pathmonitor.Unreachable} {
+		t.Run(name, func(t *testing.T) {
+			c := &fakeTransport{steps: []step{{status: 200, body: "good"}}}
+			relays := &fakeRelays{entries: 1, steps: []relayStep{{status: 200, body: "good"}}}
+			d := newRelayingDispatcher(t, c, &fakePeers{usageCounts: make(map[string]int)}, &fakePaths{state: state}, relays)
+			shutDownIn(d, 500)
+			k := call("/once/x", "key")
+			d.Serve(context.Background(), k, &reply{})
+			var told sequoiasill.Millis
+			if state == pathmonitor.Reachable {
+				told = c.attempts[0].Remaining
+			} else {
+				told = relays.calls[0].Call.Deadline - k.ArrivedAt
+			}
+			if told > 500 {
+				t.Errorf("%s are passed on, calls end in 500ms", told)
+			}
+		})
+	}
+}
