--- a/cmd/sequoia-edge/main_test.go
+++ b/cmd/sequoia-edge/main_test.go
@@ -31,6 +31,9 @@
 address = "127.9.9.9:1"
 `
 
+// grace is the grace period in the settings.
+const grace = 3 * time.Second
+
 func build(t *testing.T) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "sequoia-edge")
@@ -48,6 +51,7 @@
 	for name, signals := range map[string][]syscall.Signal{
 		"terminate":            {syscall.SIGTERM},
 		"reload and terminate": {syscall.SIGHUP, syscall.SIGTERM},
+		"terminate twice":      {syscall.SIGTERM, syscall.SIGTERM},
 	} {
 		t.Run(name, func(t *testing.T) {
 			fifo := filepath.Join(t.TempDir(), "settings")
@@ -84,9 +88,13 @@
 			if err := f.Close(); err != nil {
 				t.Fatal(err)
 			}
+			began := time.Now()
 			if err := cmd.Wait(); err != nil {
 				t.Errorf("ended with %v", err)
 			}
+			if took := time.Since(began); took > grace {
+				t.Errorf("ended after %s of %s", took, grace)
+			}
 		})
 	}
 }
