A stop takes the grace period of the current settings

The settings file may change without a signal and is read every two seconds, so a stop shortly after a change took the earlier grace period and could be killed with calls in progress. The file is now read once more at the termination signal. TestSettingsChangeBeforeTermination failed before: no settings were applied.

--- a/cmd/sequoia-edge/main.go
+++ b/cmd/sequoia-edge/main.go
@@ -74,7 +74,8 @@
 const pollInterval = 2 * time.Second
 
 // wait returns at a termination signal. It reloads the settings at SIGHUP, and when a
-// check finds that the file has changed.
+// check finds that the file has changed. The last check is at the termination signal, as the
+// grace period may have changed.
 func wait(signals <-chan os.Signal, r *reloader) {
 	tick := time.NewTicker(pollInterval)
 	defer tick.Stop()
@@ -82,11 +83,13 @@
 		select {
 		case s := <-signals:
 			r.log.Info("signal", "name", s.String())
+			changed := r.changed()
+			if changed || s == syscall.SIGHUP {
+				r.reload()
+			}
 			if s != syscall.SIGHUP {
 				return
 			}
-			r.changed()
-			r.reload()
 		case <-tick.C:
 			if r.changed() {
 				r.reload()
--- a/cmd/sequoia-edge/reloader_test.go
+++ b/cmd/sequoia-edge/reloader_test.go
@@ -69,6 +69,23 @@
 	}
 }
 
+// Guards against stops that take the grace period of earlier settings: the file may change shortly before
+// the signal.
+func TestSettingsChangeBeforeTermination(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings")
+	replace(t, path, settings)
+	target := &recordingTarget{}
+	signals := make(chan os.Signal, 1)
+	r := newReloader(path)
+	r.target, r.log = target, hclog.NewNullLogger()
+	replace(t, path, strings.Replace(settings, "graceS = 3", "graceS = 2", 1))
+	signals <- syscall.SIGTERM
+	wait(signals, r)
+	if diff := cmp.Diff([]sequoiasill.Millis{2 * sequoiasill.Second}, target.graces); diff != "" {
+		t.Errorf("applied grace times (-want +got):\n%s", diff)
+	}
+}
+
 // replace atomically replaces the content of a file, or removes the file if text is
 // empty.
 func replace(t *testing.T, path, text string) {
