A stop leaves streams the time that the slowest take

Callers saw streams cut that a stopping entry had passed on late in the grace period. Cause: a stream was passed on if nine of ten streams of its route ended in the time left. The others can be given no other answer once their header is sent, and were cut 125 to 200 ms before connections are closed, though they need no time for another answer.

TestStreamLateByTheSlowestBeforeIsRefused and TestStreamsInProgressOutlastOtherCalls fail with the former percentile and the former end.

--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -233,12 +233,14 @@
 	log           hclog.Logger
 	traffic       atomic.Pointer[sequoiasill.Traffic]
 	active        atomic.Int64
-	relayedCalls  atomic.Int64    // calls in progress that other entries relayed
-	doubtCount    atomic.Int64    // failures that are not attributed yet
-	bufferedBytes atomic.Int64    // bytes of responses that are held in memory
-	shutdownAt    atomic.Int64    // time at which the shutdown ends the remaining calls, 0 if none is set
-	callsEnd      context.Context // cancelled at that time
+	relayedCalls  atomic.Int64                  // calls in progress that other entries relayed
+	doubtCount    atomic.Int64                  // failures that are not attributed yet
+	bufferedBytes atomic.Int64                  // bytes of responses that are held in memory
+	shutdown      atomic.Pointer[ShutdownTimes] // nil until the shutdown starts
+	callsEnd      context.Context               // cancelled when the shutdown ends calls
 	endCalls      context.CancelFunc
+	streamsEnd    context.Context // cancelled when it ends streams
+	endStreams    context.CancelFunc
 	durations     *durations
 
 	doubtMu sync.Mutex
@@ -260,8 +262,9 @@
 // provides them.
 func New(opts Options, transport Transport, peers Peers, moves Moves, screener Screener, paths Paths, relays Relays, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
 	callsEnd, endCalls := context.WithCancel(context.Background())
+	streamsEnd, endStreams := context.WithCancel(context.Background())
 	return &Dispatcher{
-		callsEnd: callsEnd, endCalls: endCalls, durations: newDurations(),
+		callsEnd: callsEnd, endCalls: endCalls, streamsEnd: streamsEnd, endStreams: endStreams, durations: newDurations(),
 		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, paths: paths, relays: relays, meter: meter, clock: clock, log: log.Named("dispatcher"),
 		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad), tries: make(map[*try]bool), doubts: make(map[string][]doubt), breaks: make(map[string][]pathBreak),
 	}
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -525,7 +525,7 @@
 // another entry; otherwise it would be lost. Short calls are still served.
 func TestStreamIsRefusedShortlyBeforeShutdown(t *testing.T) {
 	d := newDispatcher(t, &fakeTransport{steps: []step{{status: 200, body: "good"}}}, &fakePeers{usageCounts: make(map[string]int)})
-	d.SetShutdownTime(sequoiasill.NewSystemClock().Now() + 1000)
+	shutDownIn(d, 1000)
 	var stream, plain reply
 	d.Serve(context.Background(), call("/long/x", "key"), &stream)
 	d.Serve(context.Background(), call("/once/x", "key"), &plain)
--- a/relay/dispatcher/durations.go
+++ b/relay/dispatcher/durations.go
@@ -14,6 +14,8 @@
 	minDurationSamples = 10
 	// usualPercentile is the percentile of the durations that attempts usually stay within.
 	usualPercentile = 90
+	// slowestPercentile is that of the slowest attempt.
+	slowestPercentile = 100
 )
 
 // durations keeps how long the last answered attempts of each route took. It is safe for concurrent
@@ -48,9 +50,9 @@
 	s.next = (s.next + 1) % durationSamples
 }
 
-// usual returns the duration that attempts of a route usually stay within. It returns false if too few
-// were answered.
-func (d *durations) usual(route string) (sequoiasill.Millis, bool) {
+// percentile returns a percentile of the durations of a route. It returns false if too few attempts were
+// answered.
+func (d *durations) percentile(route string, percentile int) (sequoiasill.Millis, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.routes[route]
@@ -58,7 +60,7 @@
 		return 0, false
 	}
 	sorted := slices.Sorted(slices.Values(s.took))
-	return sorted[(len(sorted)-1)*usualPercentile/100], true
+	return sorted[(len(sorted)-1)*percentile/100], true
 }
 
 // keepRoutes forgets all routes but the given ones.
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -153,7 +153,7 @@
 	}
 	t := d.traffic.Load()
 	switch {
-	case d.shutdownAt.Load() > 0:
+	case d.shutdown.Load() != nil:
 		return refuse(sequoiasill.CodeLeaving, "entry is leaving")
 	case t == nil || t.Version < trafficVersion:
 		return refuse(sequoiasill.CodeNoUpstream, "entry has an older configuration")
--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -327,7 +327,9 @@
 		"no upstream":           {"other", 1, func(*dispatcher.Dispatcher, *fakePaths) {}, sequoiasill.CodeNoUpstream},
 		"no path":               {"plain", 1, func(_ *dispatcher.Dispatcher, p *fakePaths) { p.set(pathmonitor.Unreachable) }, sequoiasill.CodeNoUpstream},
 		"paths in doubt":        {"plain", 1, func(_ *dispatcher.Dispatcher, p *fakePaths) { p.set(pathmonitor.InDoubt) }, sequoiasill.CodeNoUpstream},
-		"an entry that leaves":  {"plain", 1, func(d *dispatcher.Dispatcher, _ *fakePaths) { d.SetShutdownTime(1) }, sequoiasill.CodeLeaving},
+		"an entry that leaves": {"plain", 1, func(d *dispatcher.Dispatcher, _ *fakePaths) {
+			d.SetShutdownTimes(dispatcher.ShutdownTimes{Calls: 1, Streams: 1})
+		}, sequoiasill.CodeLeaving},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
@@ -41,10 +42,11 @@
 	arrivals     int             // upstreams that the call reached
 	runs         int             // those that may have run it
 	refusals     int
-	denials      int       // permits denied by rate limits
-	usageCounted bool      // the call is in its organisation's usage
-	headerSent   bool      // the header of a stream was sent to the caller
-	events       numbering // of the events that were sent to the caller
+	denials      int         // permits denied by rate limits
+	usageCounted bool        // the call is in its organisation's usage
+	headerSent   bool        // the header of a stream was sent to the caller
+	streaming    atomic.Bool // the same, for the shutdown
+	events       numbering   // of the events that were sent to the caller
 	fallback     *fallbackResponse
 }
 
@@ -77,7 +79,7 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	defer d.OnCallsEnd(func() { end(errShutdown) })()
+	defer d.endWithShutdown(j, end)()
 	d.run(ctx, j)
 }
 
--- a/relay/dispatcher/shutdown.go
+++ b/relay/dispatcher/shutdown.go
@@ -24,11 +24,33 @@
 	shutdownCut     = "cut"     // a stream
 )
 
-// SetShutdownTime starts the shutdown of the entry: from now on, calls that are not expected to end by
-// the given time are refused, and at that time the remaining ones are ended.
-func (d *Dispatcher) SetShutdownTime(at sequoiasill.Millis) {
-	d.shutdownAt.Store(int64(at))
-	time.AfterFunc((at - d.clock.Now()).Duration(), d.endCalls)
+// ShutdownTimes are the times at which a shutdown ends what is in progress.
+type ShutdownTimes struct {
+	Calls   sequoiasill.Millis // calls that need a final answer
+	Streams sequoiasill.Millis // streams whose header was sent
+}
+
+// SetShutdownTimes starts the shutdown of the entry: from now on, calls that are not expected to end in
+// time are refused, and at the given times the remaining ones are ended.
+func (d *Dispatcher) SetShutdownTimes(t ShutdownTimes) {
+	d.shutdown.Store(&t)
+	now := d.clock.Now()
+	time.AfterFunc((t.Calls - now).Duration(), d.endCalls)
+	time.AfterFunc((t.Streams - now).Duration(), d.endStreams)
+}
+
+// endWithShutdown calls end when the shutdown ends the call, unless stop is called before.
+func (d *Dispatcher) endWithShutdown(j *job, end context.CancelCauseFunc) (stop func()) {
+	stopCall := d.OnCallsEnd(func() {
+		if !j.streaming.Load() {
+			end(errShutdown)
+		}
+	})
+	stopStream := context.AfterFunc(d.streamsEnd, func() { end(errShutdown) })
+	return func() {
+		stopCall()
+		stopStream()
+	}
 }
 
 // OnCallsEnd calls f when the shutdown ends the remaining calls, unless stop is called before.
@@ -48,20 +70,24 @@
 // callEnd returns the time at which the call ends at the latest: its deadline, or earlier if the entry
 // shuts down.
 func (d *Dispatcher) callEnd(j *job) sequoiasill.Millis {
-	if end := sequoiasill.Millis(d.shutdownAt.Load()); end > 0 && end < j.deadline {
-		return end
+	t := d.shutdown.Load()
+	switch {
+	case t == nil:
+		return j.deadline
+	case j.route.Kind == sequoiasill.Streaming:
+		return min(j.deadline, t.Streams)
 	}
-	return j.deadline
+	return min(j.deadline, t.Calls)
 }
 
 // checkShutdown returns the refusal of an attempt that the shutdown would probably break off. A call
 // whose deadline comes first loses nothing by the shutdown.
 func (d *Dispatcher) checkShutdown(j *job) *sequoiasill.Failure {
-	end := sequoiasill.Millis(d.shutdownAt.Load())
-	if end == 0 || j.deadline <= end {
+	t := d.shutdown.Load()
+	if t == nil || j.deadline <= t.Calls {
 		return nil
 	}
-	left := max(end-d.clock.Now(), 0)
+	left := max(t.Calls-d.clock.Now(), 0)
 	expected, basis := d.expectedDuration(j.route)
 	if left >= expected && left > 0 {
 		return nil
@@ -70,9 +96,14 @@
 }
 
 // expectedDuration returns the duration that an attempt is expected to stay within, and what that is
-// based on.
+// based on. A stream that has begun cannot be given another answer, so all streams must have stayed
+// within it.
 func (d *Dispatcher) expectedDuration(r *sequoiasill.TrafficRoute) (sequoiasill.Millis, string) {
-	if usual, ok := d.durations.usual(r.Name); ok {
+	percentile := usualPercentile
+	if r.Kind == sequoiasill.Streaming {
+		percentile = slowestPercentile
+	}
+	if usual, ok := d.durations.percentile(r.Name, percentile); ok {
 		return usual, "measured"
 	}
 	switch {
--- a/relay/dispatcher/shutdown_test.go
+++ b/relay/dispatcher/shutdown_test.go
@@ -23,9 +23,10 @@
 	refusedLeaving = reply{Status: 503, Ended: true, RetryAfter: 20}
 )
 
-// shutDownIn lets the calls of d end after a time.
+// shutDownIn lets the calls and streams of d end after a time.
 func shutDownIn(d *dispatcher.Dispatcher, after sequoiasill.Millis) {
-	d.SetShutdownTime(sequoiasill.NewSystemClock().Now() + after)
+	at := sequoiasill.NewSystemClock().Now() + after
+	d.SetShutdownTimes(dispatcher.ShutdownTimes{Calls: at, Streams: at})
 }
 
 // Guards against LOST: calls that the end of a planned stop would break off are not passed on, and those
@@ -189,6 +190,43 @@
 	}
 }
 
+// Guards against LOST: a stream that was passed on as nine of ten end in time was cut.
+func TestStreamLateByTheSlowestBeforeIsRefused(t *testing.T) {
+	events := step{status: 200, events: true, body: "id: 1\ndata: a\n\n"}
+	slow := events
+	slow.delay = 300
+	c := &fakeTransport{steps: []step{slow, events}}
+	d := newDispatcher(t, c, &fakePeers{usageCounts: make(map[string]int)})
+	for range 10 {
+		d.Serve(context.Background(), call("/long/x", "key"), &reply{})
+	}
+	shutDownIn(d, 250)
+	got := reply{}
+	d.Serve(context.Background(), call("/long/x", "key"), &got)
+	if diff := cmp.Diff(refusedLeaving, got); diff != "" {
+		t.Errorf("response (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against streams that are cut before the connections are closed: they need no time for another answer.
+func TestStreamsInProgressOutlastOtherCalls(t *testing.T) {
+	const calls, streams = 100, 400
+	h := &hangingTransport{connects: true, response: &dispatcher.Response{Status: 200, Authentic: true, EventStream: true}, text: "id: 1\ndata: a\n\n"}
+	d := newDispatcherOf(h, &fakePeers{usageCounts: make(map[string]int)}, soundScreener(), &fakePaths{}, &fakeRelays{}, filledBudget(), hclog.NewNullLogger())
+	now := sequoiasill.NewSystemClock().Now()
+	time.AfterFunc(50*time.Millisecond, func() {
+		d.SetShutdownTimes(dispatcher.ShutdownTimes{Calls: now + calls, Streams: now + streams})
+	})
+	got := reply{}
+	d.Serve(context.Background(), call("/long/x", "key"), &got)
+	if !got.WasCut {
+		t.Error("the stream was not cut")
+	}
+	if took := sequoiasill.NewSystemClock().Now() - now; took < streams {
+		t.Errorf("the stream was cut after %s", took)
+	}
+}
+
 // Guards against LOST: a call is not sent once more, to another entry or after a wait for a connection or
 // a permit, if the shutdown would break it off.
 func TestShutdownIsCheckedBeforeEachAttempt(t *testing.T) {
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -154,6 +154,7 @@
 			return err
 		}
 		f.headerSent = true
+		f.streaming.Store(true)
 	}
 	if len(b) == 0 {
 		return nil
