--- a/relay/dispatcher/await.go
+++ b/relay/dispatcher/await.go
@@ -6,14 +6,9 @@
 
 	"github.com/juju/errors"
 
-	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
 )
 
-// shutdownMargin is the time before the end of the entry at which a call stops waiting, so that its response is
-// still sent.
-const shutdownMargin = 250 * sequoiasill.Millis(1)
-
 // recordGivenUp records whether an attempt at an upstream was cancelled for want of a response.
 func (j *job) recordGivenUp(ctx context.Context, upstream string) {
 	if errors.Is(context.Cause(ctx), errAttemptTimeout) {
@@ -25,11 +20,7 @@
 // mayAwait reports whether a call may wait for another attempt: its upstream did not fail but was silent until
 // the attempt was given up, and the caller cannot be told that the call has not run.
 func (d *Dispatcher) mayAwait(j *job) bool {
-	if !j.gaveUp || j.relayed || j.fallback != nil {
-		return false
-	}
-	end := sequoiasill.Millis(d.shutdownAt.Load())
-	return end == 0 || end-d.clock.Now() > shutdownMargin
+	return j.gaveUp && !j.relayed && j.fallback == nil && d.checkShutdown(j) == nil
 }
 
 // awaitUpstream waits for a moment if a call found no upstream only because some do not respond, and reports
--- a/relay/dispatcher/await_test.go
+++ b/relay/dispatcher/await_test.go
@@ -11,6 +11,7 @@
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
+	"sequoiasill.dev/sequoiasill/relay/dispatcher"
 )
 
 // Guards against LOST: calls whose attempts were given up ended at once if all upstreams were silent for a
@@ -138,7 +139,7 @@
 	d := newDispatcher(t, c, &fakePeers{usageCounts: make(map[string]int)})
 	clock := sequoiasill.NewSystemClock()
 	end := clock.Now() + 800
-	d.SetShutdownTime(end)
+	d.SetShutdownTimes(dispatcher.ShutdownTimes{Calls: end - 200, Streams: end - 200})
 	var got reply
 	d.Serve(context.Background(), call("/read/x", "key"), &got)
 	if now := clock.Now(); now >= end {
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -170,6 +170,8 @@
 	PermitDecided(granted, lifted bool)
 	// CrashCharged counts a call that is charged with the crash of its upstream.
 	CrashCharged()
+	// ShutdownEnded counts a call that the shutdown refused or ended, by how.
+	ShutdownEnded(how string)
 }
 
 // Options configure a Dispatcher.
@@ -198,14 +200,16 @@
 	// RetryAfter is the delay before a retry that is returned to callers if the state of the
 	// upstreams does not yield a better one.
 	RetryAfter sequoiasill.Millis
-	// TypicalStreamDuration is the duration that most streams stay below. A stream that arrives
-	// when the entry shuts down sooner is refused, so that another entry serves it.
+	// TypicalStreamDuration and TypicalCallDuration are the durations that most streams and other calls
+	// stay below. While the entry shuts down they decide what is still served on routes of which nothing
+	// better is known.
 	TypicalStreamDuration sequoiasill.Millis
+	TypicalCallDuration   sequoiasill.Millis
 }
 
 // DefaultOptions returns the options that entries use.
 func DefaultOptions() Options {
-	return Options{MaxResponseBytes: 4 << 20, MaxBufferedBytes: 24 << 20, SmallResponseBytes: 64 << 10, MaxRefusals: 4, MaxBrittleRefusals: 2, MaxDenials: 3, MaxRelays: 3, MaxRelayedCalls: 256, AttemptTimeoutPercent: 150, RetryAfter: 250, TypicalStreamDuration: 4 * sequoiasill.Second}
+	return Options{MaxResponseBytes: 4 << 20, MaxBufferedBytes: 24 << 20, SmallResponseBytes: 64 << 10, MaxRefusals: 4, MaxBrittleRefusals: 2, MaxDenials: 3, MaxRelays: 3, MaxRelayedCalls: 256, AttemptTimeoutPercent: 150, RetryAfter: 250, TypicalStreamDuration: 4 * sequoiasill.Second, TypicalCallDuration: 2 * sequoiasill.Second}
 }
 
 // StateMachines are the state machines that a dispatcher drives.
@@ -231,10 +235,15 @@
 	log           hclog.Logger
 	traffic       atomic.Pointer[sequoiasill.Traffic]
 	active        atomic.Int64
-	relayedCalls  atomic.Int64 // calls in progress that other entries relayed
-	doubtCount    atomic.Int64 // failures that are not attributed yet
-	bufferedBytes atomic.Int64 // bytes of responses that are held in memory
-	shutdownAt    atomic.Int64 // time at which the entry shuts down, 0 if none is set
+	relayedCalls  atomic.Int64                  // calls in progress that other entries relayed
+	doubtCount    atomic.Int64                  // failures that are not attributed yet
+	bufferedBytes atomic.Int64                  // bytes of responses that are held in memory
+	shutdown      atomic.Pointer[ShutdownTimes] // nil until the shutdown starts
+	callsEnd      context.Context               // cancelled when the shutdown ends calls
+	endCalls      context.CancelFunc
+	streamsEnd    context.Context // cancelled when it ends streams
+	endStreams    context.CancelFunc
+	durations     *durations
 
 	doubtMu sync.Mutex
 	doubts  map[string][]doubt // failures that are not attributed yet, by service
@@ -254,7 +263,10 @@
 // New returns a dispatcher without traffic rules, which refuses calls until SetTraffic
 // provides them.
 func New(opts Options, transport Transport, peers Peers, moves Moves, screener Screener, paths Paths, relays Relays, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
+	callsEnd, endCalls := context.WithCancel(context.Background())
+	streamsEnd, endStreams := context.WithCancel(context.Background())
 	return &Dispatcher{
+		callsEnd: callsEnd, endCalls: endCalls, streamsEnd: streamsEnd, endStreams: endStreams, durations: newDurations(),
 		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, paths: paths, relays: relays, meter: meter, clock: clock, log: log.Named("dispatcher"),
 		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad), tries: make(map[*try]bool), doubts: make(map[string][]doubt), breaks: make(map[string][]pathBreak),
 	}
@@ -269,6 +281,7 @@
 			return false
 		}
 		if d.traffic.CompareAndSwap(old, t) {
+			d.durations.keepRoutes(t.Routes)
 			return true
 		}
 	}
@@ -341,9 +354,6 @@
 	return allotter.Totals{Demand: d.allotter.Demand(d.clock.Now()), Spent: d.allotter.Spent()}
 }
 
-// SetShutdownTime sets the time at which the entry shuts down.
-func (d *Dispatcher) SetShutdownTime(at sequoiasill.Millis) { d.shutdownAt.Store(int64(at)) }
-
 // Active returns the number of calls in progress.
 func (d *Dispatcher) Active() int { return int(d.active.Load()) }
 
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -107,7 +107,7 @@
 	}
 	call := *j.call
 	call.LastEvent = j.events.last
-	call.Deadline = j.deadline
+	call.Deadline = d.callEnd(j)
 	send, ok := d.countRelay(t, peer)
 	if !ok {
 		return stop, "caller left"
@@ -185,7 +185,7 @@
 	}
 	t := d.traffic.Load()
 	switch {
-	case d.shutdownAt.Load() > 0:
+	case d.shutdown.Load() != nil:
 		return refuse(sequoiasill.CodeLeaving, "entry is leaving")
 	case t == nil || t.Version < trafficVersion:
 		return refuse(sequoiasill.CodeNoUpstream, "entry has an older configuration")
@@ -297,7 +297,7 @@
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	for t := range d.tries {
-		if t.service != service || t.last || now-t.lastData < stalledTime {
+		if t.service != service || t.last || now-t.lastData < stalledTime || d.checkShutdown(t.job) != nil {
 			continue
 		}
 		if _, ok := d.pickRelay(t.job); ok && d.rationer.TakeRepeat(now, t.retryBudget) {
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -46,12 +47,13 @@
 	arrivalsElsewhere int
 	runs              int // those that may have run it
 	refusals          int
-	denials           int       // permits denied by rate limits
-	retryDenied       bool      // the retry budget was exhausted at the last check
-	usageCounted      bool      // the call is in its organisation's usage
-	headerSent        bool      // the header of a stream was sent to the caller
-	writeFailed       bool      // part of a stream could not be written to the caller
-	events            numbering // of the events that were sent to the caller
+	denials           int         // permits denied by rate limits
+	retryDenied       bool        // the retry budget was exhausted at the last check
+	usageCounted      bool        // the call is in its organisation's usage
+	headerSent        bool        // the header of a stream was sent to the caller
+	streaming         atomic.Bool // the same as headerSent, for the shutdown
+	writeFailed       bool        // part of a stream could not be written to the caller
+	events            numbering   // of the events that were sent to the caller
 	fallback          *fallbackResponse
 
 	// For calls that run only once:
@@ -90,19 +92,23 @@
 	}
 	ctx, cancel := d.callContext(ctx, j)
 	defer cancel()
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	defer d.endWithShutdown(j, end)()
 	d.run(ctx, j)
 }
 
 func (d *Dispatcher) refuse(call *sequoiasill.Call, reply ResponseWriter, f *sequoiasill.Failure) {
 	d.meter.Refused(f.Code)
+	d.countShutdown(f)
 	d.log.Info("refused", "request", call.ID, "status", f.Status, "code", string(f.Code), "reason", f.Message, "verdict", f.Verdict.String(),
 		"retryAfter", f.RetryAfter, "after", d.clock.Now()-call.ArrivedAt)
 	reply.Refuse(f)
 }
 
 // admit looks up the route and the organisation, sets the deadline and charges the quota unless the
-// entry that relayed the call has done so. It refuses a call that has no time left, a stream that arrives shortly before a shutdown, and a
-// quarantined request.
+// entry that relayed the call has done so. It refuses a call that has no time left or that the shutdown
+// would break off, and a quarantined request.
 func (d *Dispatcher) admit(j *job) *sequoiasill.Failure {
 	call := j.call
 	t := d.traffic.Load()
@@ -134,9 +140,8 @@
 		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeDeadline, http.StatusServiceUnavailable,
 			"no time left on arrival")
 	}
-	if end := sequoiasill.Millis(d.shutdownAt.Load()); end > 0 && route.Kind == sequoiasill.Streaming && end-d.clock.Now() < d.opts.TypicalStreamDuration {
-		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeLeaving, http.StatusServiceUnavailable,
-			"entry ends in %s", end-d.clock.Now()).WithRetryAfter(drainRetryAfter)
+	if failure := d.checkShutdown(j); failure != nil {
+		return failure
 	}
 	j.fingerprint = fingerprint(call, j.account)
 	if failure := d.checkQuarantine(j); failure != nil {
@@ -153,10 +158,6 @@
 	return nil
 }
 
-// drainRetryAfter is the delay before a retry for callers that a draining entry refuses. It is
-// short, as other entries can serve them at once.
-const drainRetryAfter = 20 * sequoiasill.Millis(1)
-
 // takeQuota charges the cost of the call to the organisation's quota, and counts the call
 // towards the retry budget of its service. For a relayed call, the entry that relayed it does both. If the quota is exhausted, it returns false and the
 // time to wait before a retry.
@@ -203,7 +204,11 @@
 	defer d.returnRetry(j)
 	for {
 		if failure := d.screen(j); failure != nil {
-			d.finishQuarantined(ctx, j, failure)
+			d.finishRefused(ctx, j, failure)
+			return
+		}
+		if failure := d.checkShutdown(j); failure != nil {
+			d.finishRefused(ctx, j, failure)
 			return
 		}
 		p, ok := d.nextPlacement(ctx, j)
@@ -393,6 +398,8 @@
 // cutCause returns why a stream ended before its end.
 func (j *job) cutCause(ctx context.Context) string {
 	switch {
+	case endedByShutdown(ctx):
+		return string(sequoiasill.EndedByStop)
 	case callerDisconnected(ctx):
 		return connectionEnd(ctx)
 	case j.writeFailed:
@@ -407,16 +414,39 @@
 	d.log.Info("response not delivered", "request", j.call.ID, "cause", causeNotDelivered, "error", err)
 }
 
+// finishRefused ends a call that may make no further attempt, with the given refusal if no upstream has
+// run it.
+func (d *Dispatcher) finishRefused(ctx context.Context, j *job, failure *sequoiasill.Failure) {
+	if j.runs > 0 || j.headerSent || ctx.Err() != nil {
+		d.countNoRetry(ctx, j, failure)
+		d.finish(ctx, j, failure.Message)
+		return
+	}
+	d.refundQuota(j)
+	d.refuse(j.call, j.reply, failure)
+}
+
+// finishCut ends a stream before its end.
+func (d *Dispatcher) finishCut(ctx context.Context, j *job, reason string, elapsed sequoiasill.Millis) {
+	var args []any
+	if endedByShutdown(ctx) {
+		d.meter.ShutdownEnded(shutdownCut)
+		reason = errShutdown.Error()
+		args = append(args, "left", j.deadline-d.clock.Now())
+	}
+	cause := j.cutCause(ctx)
+	d.meter.CallerEnded(cause)
+	d.meter.CallEnded(j.route.Kind, "cut", elapsed)
+	d.log.Info("stream cut", append([]any{"request", j.call.ID, "reason", reason, "cause", cause, "event", j.events.last, "after", elapsed}, args...)...)
+	j.reply.Abort()
+}
+
 // finish ends a call without a good response of an upstream.
 func (d *Dispatcher) finish(ctx context.Context, j *job, reason string) {
 	elapsed := d.clock.Now() - j.call.ArrivedAt
 	switch {
 	case j.headerSent:
-		d.meter.CallEnded(j.route.Kind, "cut", elapsed)
-		cause := j.cutCause(ctx)
-		d.meter.CallerEnded(cause)
-		d.log.Info("stream cut", "request", j.call.ID, "reason", reason, "cause", cause, "event", j.events.last, "after", elapsed)
-		j.reply.Abort()
+		d.finishCut(ctx, j, reason, elapsed)
 	case callerDisconnected(ctx):
 		d.finishLeft(ctx, j, elapsed)
 	case j.fallback != nil:
@@ -425,6 +455,11 @@
 		if err := j.reply.SendWhole(j.fallback.status, j.fallback.header, j.fallback.body); err != nil {
 			d.recordNotDelivered(j, err)
 		}
+	case endedByShutdown(ctx):
+		if j.runs == 0 {
+			d.refundQuota(j)
+		}
+		d.refuse(j.call, j.reply, d.shutdownFailure(j))
 	case j.runs == 0:
 		d.refundQuota(j)
 		d.refuse(j.call, j.reply, sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeNoUpstream,
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -30,10 +30,11 @@
 	err := f.copy(ctx)
 	t.countRun(a)
 	a.Close(err == nil)
-	e := classifier.End{Kind: classifier.Truncated, CallerDisconnected: f.writeFailed || callerDisconnected(ctx), EndedHere: ctx.Err() != nil, ClosedByUpstream: isClose(err)}
+	e := classifier.End{Kind: classifier.Truncated, CallerDisconnected: f.writeFailed || callerDisconnected(ctx), Shutdown: endedByShutdown(ctx), EndedHere: ctx.Err() != nil, ClosedByUpstream: isClose(err)}
 	switch {
 	case err == nil:
 		t.clearSuspicion()
+		t.d.durations.record(t.route.Name, t.d.clock.Now()-t.started)
 		t.conclude(classifier.End{Kind: classifier.Succeeded}, "streamed", "", "events", f.delivered, "first", f.timeToFirstEvent)
 		t.d.meter.CallEnded(t.route.Kind, "good", t.d.clock.Now()-t.call.ArrivedAt)
 		if err := t.reply.End(); err != nil {
@@ -153,6 +154,7 @@
 			return err
 		}
 		f.headerSent = true
+		f.streaming.Store(true)
 	}
 	if len(b) == 0 {
 		return nil
