Soak: requests completed late, short grace periods and the time of a stop

One call in 40 now sends its last byte up to 2.5 s late, and takes up to 1.5 s at its replica if it runs once. Half of the entries have a grace period of 3 s, unless a soak replaces an older build. Stricter: a request that was whole for over 200 ms may not end without an answer beside planned work only, whether or not it was passed on, and a stop may not exceed the grace period.

--- a/standin/soaker/caller.go
+++ b/standin/soaker/caller.go
@@ -49,6 +49,9 @@
 		k := callKind(c.rand.IntN(len(routePaths)))
 		c.callsSent++
 		id := fmt.Sprintf("%s-%d", c.name, c.callsSent)
+		if c.rand.IntN(lateShare) == 0 {
+			id += lateSuffix
+		}
 		c.inFlight.Add(1)
 		go func() {
 			defer c.inFlight.Done()
@@ -112,6 +115,11 @@
 			defer checker.observeSound(id, c.harness.currentDeadlyPart)()
 		}
 	}
+	if isLate(id) {
+		late := newLateBody("body")
+		req.Body = io.NopCloser(late)
+		defer func() { checker.checkLateResult(id, late.wholeFor()) }()
+	}
 	resp, err := conn.client.Do(req)
 	if err != nil {
 		checker.recordResult(id, 0, err)
--- a/standin/soaker/checker.go
+++ b/standin/soaker/checker.go
@@ -289,7 +289,7 @@
 	switch status {
 	case http.StatusOK:
 		c.counts.Succeeded++
-		if r.kind.service() == plainService {
+		if r.kind.service() == plainService && !isLate(id) {
 			c.latencies = append(c.latencies, time.Since(r.sent))
 		}
 		if r.executions == 0 {
@@ -305,6 +305,27 @@
 	}
 }
 
+// checkLateResult checks the result of a call whose request was completed late and has been whole for some
+// time. Without an answer it is lost, whether or not it was passed on.
+func (c *checker) checkLateResult(id string, whole time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.calls[id]; r.err != nil && r.undisturbed && whole > lossSlack {
+		c.addViolationLocked("call %s was whole for %s and ended without an answer under planned work only: %v%s", id, whole, r.err, r.describe())
+	}
+}
+
+// checkStop checks the time that an entry took to stop, unless a fault prolonged it. The platform
+// kills the process after the grace period.
+func (c *checker) checkStop(e *entry, began time.Time) {
+	took := time.Since(began)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if took > e.grace() && c.undisturbedSince(began) {
+		c.addViolationLocked("entry %d took %s to stop, %s are allowed", e.number, took, e.grace())
+	}
+}
+
 // recordPartCrash records that a part of a prompt crashes an upstream.
 func (c *checker) recordPartCrash(part string) {
 	c.mu.Lock()
--- a/standin/soaker/entry.go
+++ b/standin/soaker/entry.go
@@ -37,6 +37,7 @@
 	process  *os.Process
 	exited   chan struct{} // closed when the process has exited
 	stopping bool          // it was asked to stop and must exit cleanly
+	stopAt   time.Time     // when it was asked to
 }
 
 // newEntry returns an entry that is not started, with its builds.
@@ -82,6 +83,20 @@
 	return fmt.Sprintf("127.%d.1.%d", h.secondOctet, number+1)
 }
 
+const (
+	usualGrace = 6 * time.Second
+	shortGrace = 3 * time.Second
+)
+
+// grace returns the grace period, which is short for half of the entries. Builds before an upgrade may
+// exceed a short one.
+func (e *entry) grace() time.Duration {
+	if e.number%2 == 1 && e.harness.opts.Production == "" {
+		return shortGrace
+	}
+	return usualGrace
+}
+
 // settings returns the contents of the settings file, which the platform would write.
 func (e *entry) settings() string {
 	seeds := ""
@@ -99,7 +114,7 @@
 [bounds]
 drainMs = %d
 leaseMs = %d
-graceS = 6
+graceS = %g
 retryBudgetRatio = %g
 budgetSlack = %g
 retryWindowS = %d
@@ -111,7 +126,7 @@
 address = %q
 [cloudApi]
 address = %q
-`, e.name(), e.ip(), peerPort, peerPort+1, seeds, e.frontendAddr(), e.readyAddr(), int64(drainTimeout), int64(leaseTTL), e.harness.opts.RetryLimits.Ratio, e.harness.opts.RetryLimits.Slack,
+`, e.name(), e.ip(), peerPort, peerPort+1, seeds, e.frontendAddr(), e.readyAddr(), int64(drainTimeout), int64(leaseTTL), e.grace().Seconds(), e.harness.opts.RetryLimits.Ratio, e.harness.opts.RetryLimits.Slack,
 		e.harness.opts.RetryLimits.Window.Seconds(), e.harness.opts.fenced(), e.store.listener.Addr(), e.store.listener.Addr())
 }
 
@@ -147,6 +162,9 @@
 		if e.stopping && err != nil && err.Error() != "signal: killed" {
 			e.harness.checker.addViolation("entry %d was asked to stop and ended with %v", e.number, err)
 		}
+		if e.stopping {
+			e.harness.checker.checkStop(e, e.stopAt)
+		}
 		e.mu.Unlock()
 		close(exited)
 	}()
@@ -160,7 +178,9 @@
 	mustExitCleanly := s == syscall.SIGTERM && e.isReady()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.stopping = e.stopping || mustExitCleanly
+	if mustExitCleanly && !e.stopping {
+		e.stopping, e.stopAt = true, time.Now()
+	}
 	if s != syscall.SIGHUP {
 		e.harness.checker.recordDisruption(e)
 	}
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -246,6 +246,9 @@
 		return
 	}
 	time.Sleep(rand.N(20*time.Millisecond) + time.Duration(r.extraLatencyMillis.Load())*time.Millisecond)
+	if isLate(id) && strings.HasPrefix(req.URL.Path, routePaths[runOnce]) {
+		time.Sleep(rand.N(maxLateWork))
+	}
 	if brittle {
 		setLoadReport(w, r.inFlight.Load())
 	}
