OPTIONS * reaches the receiver

What callers saw: 200 without an upstream's response, whatever the configuration.

Cause: net/http answers this request itself unless told not to.

TestEveryWholeRequestReachesHandler fails on the code before: 200, not the handler's status.

--- a/relay/acceptor/acceptor.go
+++ b/relay/acceptor/acceptor.go
@@ -68,7 +68,7 @@
 	a := &Acceptor{listener: l, limits: limits, requestID: requestID, meter: m, log: log.Named("acceptor"), conns: make(map[*callerConn]bool)}
 	// The connections have the timeouts of the server.
 	a.server = &http.Server{
-		Handler: a.trackRequests(a.closeWhenDraining(h)), MaxHeaderBytes: maxHeaderBytes, ConnState: a.trackState,
+		Handler: a.trackRequests(a.closeWhenDraining(h)), DisableGeneralOptionsHandler: true, MaxHeaderBytes: maxHeaderBytes, ConnState: a.trackState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ErrorLog:    a.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Warn}),
 	}
--- a/relay/acceptor/ends_test.go
+++ b/relay/acceptor/ends_test.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"net"
@@ -87,3 +88,33 @@
 		t.Errorf("logged: %s", buf.String())
 	}
 }
+
+// Guards against successes that net/http answers itself.
+func TestEveryWholeRequestReachesHandler(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	serve(t, l, func() sequoiasill.Millis { return 500 }, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+	for name, request := range map[string]string{
+		"options of the server": "OPTIONS * HTTP/1.1\r\nHost: kiosk.example\r\n\r\n",
+		"a path":                getRequest,
+		"HTTP/1.0":              "GET / HTTP/1.0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = io.WriteString(c, request)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(http.StatusTeapot, resp.StatusCode); diff != "" {
+				t.Errorf("status (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
