--- a/relay/acceptor/idle_test.go
+++ b/relay/acceptor/idle_test.go
@@ -332,3 +332,48 @@
 		t.Errorf("answered with 408 (-want +got):\n%s%s", diff, c.written.String())
 	}
 }
+
+// Guards against requests that a drain cuts off right after their connection was opened.
+func TestConnectionOpenedBeforeDrainIsServed(t *testing.T) {
+	tests := map[string]struct {
+		open, send time.Duration // before and after the start of the drain
+		served     bool
+	}{
+		"just opened":              {20 * time.Millisecond, 100 * time.Millisecond, true},
+		"opened, request arrived":  {time.Second, 0, true},
+		"opened long before":       {time.Second, 100 * time.Millisecond, false},
+		"just opened, no requests": {20 * time.Millisecond, time.Second, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			a := serve(t, l, func() sequoiasill.Millis { return 5000 }, func(http.ResponseWriter, *http.Request) {})
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			time.Sleep(tc.open)
+			if tc.send == 0 {
+				_, _ = io.WriteString(c, getRequest)
+			}
+			a.Drain()
+			go a.Shutdown(2 * sequoiasill.Second)
+			if tc.send > 0 {
+				time.Sleep(tc.send)
+				_, _ = io.WriteString(c, getRequest)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if diff := cmp.Diff(tc.served, err == nil); diff != "" {
+				t.Fatalf("served, %v (-want +got):\n%s", err, diff)
+			}
+			if err == nil && !resp.Close {
+				t.Error("the connection is kept")
+			}
+		})
+	}
+}
