--- a/replica.go
+++ b/replica.go
@@ -1,5 +1,12 @@
 package sequoiasill
 
+import (
+	"net"
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
 // Replica is an upstream as it announces itself. Each restart of an upstream
 // creates a new replica, usually under a new name.
 type Replica struct {
@@ -17,6 +24,52 @@
 	Sequence    uint64 // rises with each write of the replica, 0 if unknown
 }
 
+const (
+	// maxSlots is the maximum number of slots of an upstream. An entry cannot have more connections
+	// to one address than there are ports, and calls are balanced by slots: an absurd number would
+	// draw all calls of the service.
+	maxSlots = 1<<16 - 1
+	// maxTextBytes is the maximum length of a name. The four of an announcement must fit into one
+	// gossip message.
+	maxTextBytes = 200
+)
+
+// Validate returns an error if r does not name an upstream that can be used.
+func (r Replica) Validate() error {
+	for _, text := range []string{r.Name, r.Service, r.Zone, r.Version} {
+		if len(text) > maxTextBytes {
+			return errors.Errorf("a name has %d bytes", len(text))
+		}
+	}
+	switch {
+	case r.Name == "" || r.Service == "":
+		return errors.New("it has no name or no service")
+	case r.Slots < 1 || r.Slots > maxSlots:
+		return errors.New("its number of slots is out of range")
+	case r.StartedAt < 0 || r.StartedAt > MaxTimestamp:
+		return errors.New("its start time is out of range")
+	case r.ShutdownIn < 0 || r.ShutdownIn > MaxDuration:
+		return errors.New("its time until shutdown is out of range")
+	case r.Sequence > MaxNumber:
+		return errors.New("its sequence number is out of range")
+	}
+	return validateAddress(r.Address)
+}
+
+func validateAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return errors.New("its address is not an IP number and a port")
+	}
+	if ip := net.ParseIP(host); ip == nil || ip.IsUnspecified() || ip.IsMulticast() {
+		return errors.New("its address has no IP number of a host")
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return errors.New("its port is not a number from 1 to 65535")
+	}
+	return nil
+}
+
 // Rollout is an operator's order to move a service to another version.
 type Rollout struct {
 	Service  string
