--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -80,6 +80,11 @@
 	m.count(fmt.Sprintf(`sequoia_limit_permits_total{end=%q}`, end))
 }
 
+// EntryUnusable counts an entry of the store, by kind, that cannot be used as another writer left it.
+func (m *Meter) EntryUnusable(kind string) {
+	m.count(fmt.Sprintf(`sequoia_unusable_entries_total{kind=%q}`, kind))
+}
+
 // StoreRestored counts that the store came back from a copy.
 func (m *Meter) StoreRestored() { m.count("sequoia_store_restores_total") }
 
--- a/relay/meter/meter_test.go
+++ b/relay/meter/meter_test.go
@@ -20,6 +20,7 @@
 	m.RetryRequested("model", true)
 	m.RetryRequested("model", false)
 	m.CountCall("watch", "ok")
+	m.EntryUnusable("servers")
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for _, line := range []string{
@@ -32,6 +33,7 @@
 		`sequoia_repeats_total{service="model",allowed="true"} 1`,
 		`sequoia_repeats_total{service="model",allowed="false"} 1`,
 		`sequoia_platform_calls_total{op="watch",end="ok"} 1`,
+		`sequoia_unusable_entries_total{kind="servers"} 1`,
 		"process_resident_memory_bytes",
 	} {
 		if !strings.Contains(w.Body.String(), line) {
