Totals of surging organisations reach all entries before the next reports are due

A drawn history of the allotter shows the cause that was suspected: 61 entries admit from the common bucket until a total tells them that it is empty, so that the excess grows with the surge times the age of the totals.

A total waited twice for a tick: the collector published it with its own report, and entries applied it with theirs, up to 0.5 s each with 61 entries. Collectors now publish when reports show a surge, and entries apply a total when it arrives. TestSurgeReachesAllAtOnce fails on the code before (after 30 s).

--- a/relay/exchanger/demand.go
+++ b/relay/exchanger/demand.go
@@ -47,13 +47,32 @@
 	}
 	e.gossip.SendDirect(names, keyState+e.opts.Name, version, b)
 	if rank := slices.Index(names, e.opts.Name); rank >= 0 && rank < maxCollectors {
-		e.publishSum(now, demand, names[:rank])
+		e.publishSum(now, demand, names[:rank], func(bool) bool { return true })
 	}
 }
 
+// publishSurge publishes the total demand before the next report of this collector is due if the
+// demand of an organisation surged.
+func (e *Exchanger) publishSurge() {
+	now := e.clock.Now()
+	names := e.collectors()
+	rank := slices.Index(names, e.opts.Name)
+	if rank < 0 || rank >= maxCollectors || now-e.surgeCheckedAt < e.surgeCheckInterval() {
+		return
+	}
+	e.surgeCheckedAt = now
+	own := Demand{Totals: e.calls.Totals(), Work: e.calls.EngineLoads()}
+	e.publishSum(now, own, names[:rank], func(urgent bool) bool { return urgent })
+}
+
+func (e *Exchanger) surgeCheckInterval() sequoiasill.Millis {
+	return max(sequoiasill.MillisOf(e.reportInterval())/surgeChecks, minSurgeCheckInterval)
+}
+
 // publishSum publishes the total demand of all entries that report to this collector,
-// unless one of the preceding collectors published one recently.
-func (e *Exchanger) publishSum(now sequoiasill.Millis, own Demand, precedingCollectors []string) {
+// unless one of the preceding collectors published one recently, or wanted rejects it by whether it
+// is urgent.
+func (e *Exchanger) publishSum(now sequoiasill.Millis, own Demand, precedingCollectors []string, wanted func(urgent bool) bool) {
 	leaving := make(map[string]bool)
 	for _, m := range e.gossip.Members() {
 		leaving[m.Name] = m.Leaving
@@ -66,8 +85,13 @@
 			return
 		}
 	}
-	e.sums[e.opts.Name] = receivedDemand{demand: total, receivedAt: now}
 	urgent := surged(e.lastPushed, total.Demand)
+	if !wanted(urgent) {
+		e.mu.Unlock()
+		return
+	}
+	e.sums[e.opts.Name] = receivedDemand{demand: total, receivedAt: now}
+	signal(e.summed)
 	if urgent {
 		e.lastPushed = total.Demand
 	}
@@ -177,7 +201,10 @@
 	collector, sum, ok := e.sum()
 	now := e.clock.Now()
 	e.mu.Lock()
-	own := e.recentDemands[0]
+	var own Demand // totals hold none of an entry that has not reported yet
+	if len(e.recentDemands) > 0 {
+		own = e.recentDemands[0]
+	}
 	if ok {
 		e.lastSumAt = now
 	}
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -41,16 +41,20 @@
 	// maxCollectors is the number of entries that aggregate the reports of all entries.
 	// One suffices; the others are for redundancy.
 	maxCollectors = 3
-	// minReportInterval is the minimum interval between an entry's reports to the
-	// collectors. reportIntervalPerEntry lengthens the interval with the number of entries,
+	// defaultReportInterval is the minimum interval between an entry's reports to the
+	// collectors unless the options set one. reportIntervalPerEntry lengthens the interval with the number of entries,
 	// so that a collector receives about 120 messages per second regardless of it. When a
 	// process is killed, the counts since its last report are lost.
-	minReportInterval      = 250 * sequoiasill.Millis(1)
+	defaultReportInterval  = 250 * sequoiasill.Millis(1)
 	reportIntervalPerEntry = 8 * sequoiasill.Millis(1)
 	// surgeRatio is the relative change of an organisation's demand that is published
 	// urgently. minSurgeTokens is the demand, in tokens per second, below which it is not.
 	surgeRatio     = 0.4
 	minSurgeTokens = 2000
+	// surgeChecks is how often a collector checks for a surge in a report interval, in which each entry
+	// reports once. minSurgeCheckInterval bounds the cost in small clusters.
+	surgeChecks           = 4
+	minSurgeCheckInterval = 100 * sequoiasill.Millis(1)
 	// sumStaleAfter is the age of a collector's total after which the next collector
 	// publishes one and entries prefer a more recent one.
 	sumStaleAfter = 1500 * sequoiasill.Millis(1)
@@ -155,6 +159,9 @@
 	// MinEntries is the minimum number of entries among which limits are divided, even if
 	// fewer are known.
 	MinEntries int
+	// MinReportInterval is the minimum interval between an entry's reports to the collectors, 0 for
+	// the default.
+	MinReportInterval sequoiasill.Millis
 }
 
 // Exchanger shares state with other entries until Close. It is safe for concurrent use.
@@ -174,6 +181,8 @@
 	server    *http.Server
 	client    *http.Client
 	wake      chan struct{}
+	reported  chan struct{} // an entry reported to this collector
+	summed    chan struct{} // a total arrived
 	stop      chan struct{}
 	once      sync.Once
 
@@ -191,6 +200,8 @@
 	ownSpent   map[string]float64 // part of it that this entry spent
 	lastPushed map[string]float64 // tokens last published as urgent
 
+	surgeCheckedAt sequoiasill.Millis // when this collector last checked for a surge
+
 	unreachableMu sync.Mutex
 	unreachable   []string // services whose upstreams this entry does not reach
 
@@ -218,9 +229,12 @@
 // New returns an Exchanger that gossips over conn and serves the configuration on l
 // until Close. The boot clock must advance while the instance is suspended.
 func New(opts Options, conn net.PacketConn, l net.Listener, t *tallier.Tallier, h Handlers, clock, boot sequoiasill.Clock, seed uint64, log hclog.Logger) *Exchanger {
+	if opts.MinReportInterval == 0 {
+		opts.MinReportInterval = defaultReportInterval
+	}
 	e := &Exchanger{
 		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, screener: h.Screener, clock: clock, log: log.Named("exchanger"),
-		client: &http.Client{Timeout: pullTimeout}, wake: make(chan struct{}, 1), stop: make(chan struct{}),
+		client: &http.Client{Timeout: pullTimeout}, wake: make(chan struct{}, 1), reported: make(chan struct{}, 1), summed: make(chan struct{}, 1), stop: make(chan struct{}),
 		startedAt: clock.Now(), bootClock: boot, limits: newLimits(opts.Name, opts.Name+"/"+opts.Session, boot.Now(), seed),
 		tallier: t, demands: make(map[string]receivedDemand), sums: make(map[string]receivedDemand), spent: make(map[string]float64),
 	}
@@ -293,6 +307,10 @@
 			e.reportState()
 			e.updateTotals()
 			tick.Reset(e.reportInterval())
+		case <-e.reported:
+			e.publishSurge()
+		case <-e.summed:
+			e.updateTotals()
 		case <-e.wake:
 			e.pull()
 		case <-pull.C:
@@ -307,6 +325,14 @@
 	}
 }
 
+// signal wakes the receiver of a channel unless it is about to be woken anyway.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func (e *Exchanger) reportInterval() time.Duration {
-	return max(minReportInterval, reportIntervalPerEntry*sequoiasill.Millis(e.Entries())).Duration()
+	return max(e.opts.MinReportInterval, reportIntervalPerEntry*sequoiasill.Millis(e.Entries())).Duration()
 }
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -186,6 +186,12 @@
 
 // startEntry starts a process of an entry that initially knows only the seeds.
 func startEntry(t *testing.T, number int, session string, seeds map[string]string) *entry {
+	t.Helper()
+	return startReportingEntry(t, number, session, seeds, 0)
+}
+
+// startReportingEntry starts a process of an entry that reports at an interval, 0 for the default.
+func startReportingEntry(t *testing.T, number int, session string, seeds map[string]string, interval sequoiasill.Millis) *entry {
 	t.Helper()
 	name := fmt.Sprintf("e%d", number)
 	clock := sequoiasill.NewSystemClock()
@@ -202,7 +208,7 @@
 		blamer: blamer.New(blamer.DefaultOptions()), facts: make(map[string]string), limits: make(map[throttler.Upstream]registrar.KnownLimit), toldAt: make(map[throttler.Upstream]sequoiasill.Millis),
 		screener: screener.New(partblamer.New(partblamer.DefaultOptions()), clock, meter.New(), hclog.NewNullLogger()),
 	}
-	opts := exchanger.Options{Name: name, Session: session, Zone: "a", Address: e.address, Seeds: seeds, MinEntries: 1}
+	opts := exchanger.Options{Name: name, Session: session, Zone: "a", Address: e.address, Seeds: seeds, MinEntries: 1, MinReportInterval: interval}
 	tl := tallier.New(name+"/"+session, 5*sequoiasill.Second, 4)
 	e.Exchanger = exchanger.New(opts, conn, l, tl, exchanger.Handlers{Configs: e, Origin: e, Replicas: e, Calls: e, Moves: e, Screener: e.screener}, clock, clock, uint64(number+1), hclog.NewNullLogger())
 	t.Cleanup(e.Close)
@@ -211,11 +217,17 @@
 
 // cluster starts n entries that initially know only the address of the first.
 func cluster(t *testing.T, n int) []*entry {
+	t.Helper()
+	return reportingCluster(t, n, 0)
+}
+
+// reportingCluster is cluster with entries that report at an interval, 0 for the default.
+func reportingCluster(t *testing.T, n int, interval sequoiasill.Millis) []*entry {
 	t.Helper()
 	var out []*entry
 	var seeds map[string]string
 	for i := range n {
-		e := startEntry(t, i, "1", seeds)
+		e := startReportingEntry(t, i, "1", seeds, interval)
 		if i == 0 {
 			seeds = map[string]string{"first": e.address}
 		}
@@ -400,6 +412,25 @@
 	}
 }
 
+// Guards against QUOTA: a surge of an organisation that one entry reports must reach all entries before the
+// next reports are due.
+func TestSurgeReachesAllAtOnce(t *testing.T) {
+	const surge = 50_000.0
+	entries := reportingCluster(t, 5, sequoiasill.Millis(time.Hour.Milliseconds()))
+	reporting := entries[4]
+	reporting.mu.Lock()
+	reporting.demand = map[string]float64{"small": surge}
+	reporting.mu.Unlock()
+	reporting.ReportState()
+	for _, e := range entries {
+		await(t, "the total holds the surge at "+e.label, true, func() bool {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			return e.total.Demand["small"] >= surge
+		})
+	}
+}
+
 // An upstream's announcement to one entry that it is draining must reach all entries.
 func TestDrainingReachesAll(t *testing.T) {
 	entries := cluster(t, 4)
--- a/relay/exchanger/export_test.go
+++ b/relay/exchanger/export_test.go
@@ -5,3 +5,6 @@
 	missing, _ := e.updateLimits()
 	return func() { e.renewLimits(missing) }
 }
+
+// ReportState reports this entry's state to the collectors.
+func (e *Exchanger) ReportState() { e.reportState() }
--- a/relay/exchanger/facts.go
+++ b/relay/exchanger/facts.go
@@ -108,10 +108,7 @@
 		e.targetVersion, e.targetAddress = version, address
 	}
 	e.mu.Unlock()
-	select {
-	case e.wake <- struct{}{}:
-	default:
-	}
+	signal(e.wake)
 }
 
 func (e *Exchanger) handleReplica(name string, f gossiper.Fact) {
@@ -147,6 +144,7 @@
 		e.addSpent(before.demand.Spent, s.Demand.Spent)
 	}
 	e.demands[entry] = receivedDemand{process: s.Process, demand: s.Demand, receivedAt: e.clock.Now(), shares: before.shares}
+	signal(e.reported)
 }
 
 func (e *Exchanger) handleDemand(collector string, f gossiper.Fact) {
@@ -161,4 +159,5 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sums[collector] = receivedDemand{demand: demand, receivedAt: e.clock.Now()}
+	signal(e.summed)
 }
