Bound what entries spend of a quota before they learn of a surge

Cause: while the common bucket looked full and the demand that was told normal, an entry admitted every call, so that 61 entries together spent the surge times the age of the totals. Now an entry spends its own share first, and borrows at most three equal parts of what the bucket holds above its reserve between two totals.

--- a/decide/allotter/allotter.go
+++ b/decide/allotter/allotter.go
@@ -4,7 +4,8 @@
 // totals of what all entries spent, which arrive about a second late. While the bucket
 // holds enough tokens, any entry admits a call. When the bucket is nearly empty, an
 // entry spends only its share of the rate; shares follow demand and sum to the whole
-// rate. Nothing is admitted while the bucket is overdrawn by more than a fraction of the
+// rate. What an entry spends beyond its share before it learns of what the others spent is
+// limited, too. Nothing is admitted while the bucket is overdrawn by more than a fraction of the
 // burst.
 //
 // An Allotter is a state machine without I/O. It is designed for a load in which one
@@ -45,6 +46,9 @@
 	reserveFraction      = 0.3
 	normalDemandFraction = 0.9
 	overdraftFraction    = 0.25
+	// borrowedParts is how many equal parts of the shared bucket an entry may borrow between two sums.
+	// More than one, as calls are spread unevenly; few, as a surge may reach all entries at once.
+	borrowedParts = 3
 )
 
 // Totals is what entries report, by organisation.
@@ -73,6 +77,7 @@
 	initialised bool
 	demand      float64 // demand at this entry in tokens per second
 	spent       float64 // tokens admitted at this entry
+	borrowed    float64 // tokens admitted beyond this entry's share since the last sum
 
 	bucket bucket
 }
@@ -134,6 +139,7 @@
 	}
 	for name, s := range a.shares {
 		s.bucket.update(sum, name)
+		s.borrowed = 0
 	}
 }
 
@@ -208,10 +214,12 @@
 	s.demand += cost / float64(demandTimeConstant) * float64(sequoiasill.Second)
 	remaining, fresh := s.remaining(now)
 	switch {
-	case fresh && remaining > reserveFraction*acc.Burst && a.totalDemand[acc.Name] < normalDemandFraction*acc.RatePerSec:
-		s.level = max(s.level-cost, min(s.level, 0))
 	case fresh && remaining < -overdraftFraction*acc.Burst:
 		return sequoiasill.Millis((-overdraftFraction*acc.Burst-remaining)/acc.RatePerSec*float64(sequoiasill.Second)) + 1, false
+	case fresh && a.mayBorrow(acc, s, remaining):
+		own := min(max(s.level, 0), cost)
+		s.level -= own
+		s.borrowed += cost - own
 	case s.level > 0:
 		s.level -= cost
 	default:
@@ -222,6 +230,13 @@
 	return 0, true
 }
 
+// mayBorrow reports whether a call may take tokens of the shared bucket beyond this entry's share. What
+// all entries borrow between two sums, before they learn of a surge, is limited to what the bucket holds.
+func (a *Allotter) mayBorrow(acc *sequoiasill.Account, s *share, remaining float64) bool {
+	available := remaining - reserveFraction*acc.Burst
+	return available > 0 && a.totalDemand[acc.Name] < normalDemandFraction*acc.RatePerSec && s.borrowed <= available*max(a.fraction(acc.Name), borrowedParts/float64(a.entries))
+}
+
 // remaining returns the estimated tokens in the shared bucket and whether the estimate
 // is recent.
 func (s *share) remaining(now sequoiasill.Millis) (float64, bool) {
--- a/decide/allotter/allotter_test.go
+++ b/decide/allotter/allotter_test.go
@@ -94,6 +94,11 @@
 
 // simulateOutage is simulate with an outage of the collector.
 func simulateOutage(entries, intervals int, rate func(step int) int, receives func(step, entry int) bool, collectorOutage outage, restarts ...int) result {
+	return simulateDelay(account, 2, entries, intervals, rate, receives, collectorOutage, restarts...)
+}
+
+// simulateDelay is simulateOutage for an account, with totals that arrive a number of steps late.
+func simulateDelay(account *sequoiasill.Account, delay, entries, intervals int, rate func(step int) int, receives func(step, entry int) bool, collectorOutage outage, restarts ...int) result {
 	allotters := make([]*allotter.Allotter, entries)
 	for i := range allotters {
 		allotters[i] = allotter.New(limits, entries, true)
@@ -112,9 +117,9 @@
 		sum := allotter.Totals{Demand: map[string]float64{}, Spent: map[string]float64{}}
 		for i, a := range allotters {
 			reported[i] = append(reported[i], allotter.Totals{Demand: a.Demand(now), Spent: a.Spent()})
-			if step >= 2 {
-				sum.Demand["small"] += reported[i][step-2].Demand["small"]
-				sum.Spent["small"] += reported[i][step-2].Spent["small"]
+			if step >= delay {
+				sum.Demand["small"] += reported[i][step-delay].Demand["small"]
+				sum.Spent["small"] += reported[i][step-delay].Spent["small"]
 			}
 		}
 		switch {
@@ -125,8 +130,8 @@
 			lastSum = allotter.Sum{Source: "d", At: now, All: sum}
 		}
 		for i, a := range allotters {
-			if step >= 2 && receives(step, i) {
-				lastSum.Own = reported[i][step-2]
+			if step >= delay && receives(step, i) {
+				lastSum.Own = reported[i][step-delay]
 				a.SetTotals(lastSum)
 			}
 		}
@@ -189,6 +194,34 @@
 	}
 }
 
+// Guards against QUOTA: what many entries admit before totals tell them of a surge must not grow with the
+// surge and the age of the totals.
+func TestBoundHoldsHoweverLargeTheSurge(t *testing.T) {
+	for name, acc := range map[string]*sequoiasill.Account{
+		"calls larger than a share":  {Name: "small", CountsTokens: true, RatePerSec: 100_000, Burst: 100_000},
+		"calls smaller than a share": {Name: "small", CountsTokens: true, RatePerSec: 930_000, Burst: 930_000},
+	} {
+		for _, entries := range []int{9, 61, 295} {
+			for _, delay := range []int{1, 2, 3} {
+				for _, surge := range []float64{2, 4, 6, 8, 12} {
+					t.Run(fmt.Sprintf("%s, %d entries, totals %d ms old, %.0f times the rate", name, entries, delay*500, surge), func(t *testing.T) {
+						load := func(step int) int {
+							if step >= 20 && step < 60 {
+								return int(surge * acc.RatePerSec / 2 / 3000)
+							}
+							return int(acc.RatePerSec / 4 / 3000)
+						}
+						p := simulateDelay(acc, delay, entries, 80, load, always, outage{})
+						if p.maxInWindow() > bound(acc) {
+							t.Errorf("%.0f tokens in a window, %.0f are allowed", p.maxInWindow(), bound(acc))
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
 // The collector goes down during a surge of an organisation. Entries must not exceed the
 // quota when the sums stop and then continue from another collector.
 func TestSilentCollectorStaysWithinBound(t *testing.T) {
