--- a/decide/allotter/allotter.go
+++ b/decide/allotter/allotter.go
@@ -48,7 +48,7 @@
 	overdraftFraction    = 0.25
 	// borrowedParts is how many equal parts of the shared bucket an entry may borrow between two sums.
 	// More than one, as calls are spread unevenly; few, as a surge may reach all entries at once.
-	borrowedParts = 3
+	borrowedParts = 2
 )
 
 // Totals is what entries report, by organisation.
@@ -234,7 +234,12 @@
 // all entries borrow between two sums, before they learn of a surge, is limited to what the bucket holds.
 func (a *Allotter) mayBorrow(acc *sequoiasill.Account, s *share, remaining float64) bool {
 	available := remaining - reserveFraction*acc.Burst
-	return available > 0 && a.totalDemand[acc.Name] < normalDemandFraction*acc.RatePerSec && s.borrowed <= available*max(a.fraction(acc.Name), borrowedParts/float64(a.entries))
+	if available <= 0 || a.totalDemand[acc.Name] >= normalDemandFraction*acc.RatePerSec {
+		return false
+	}
+	// The part of the slack that is not added to the rate.
+	available += (1 - slackFraction) * a.limits.Slack
+	return s.borrowed <= available*max(a.fraction(acc.Name), borrowedParts/float64(a.entries))
 }
 
 // remaining returns the estimated tokens in the shared bucket and whether the estimate
