Keep connections open through two and a half seconds of silence

What callers saw: a stream or a long call ended with a cut or 502 three seconds after its upstream's last data, though the upstream had been silent for little more than a second and had gone on long before.

Cause: the user timeout of 3 s does not bear 3 s of silence. Linux ends a connection once it has received nothing for the user timeout and a probe is unanswered. It counts from the last data, and checks when the next probe is due, before it is sent. With probes a second apart, a silence from 0.9 s to 2.1 s after the last data swallows the probes at 1 s and 2 s; at 3 s the connection ends.

TestConnectionsSurviveShortSilence now asks for the time that connections bear, and fails on the code before: 1000 ms.

The time for which a sound upstream may be silent is an option of its own now, 2.5 s; the user timeout exceeds it by two intervals of probes. The check of responses without framing asks for as long. The paths that are lost for good are found by probes of their own, as before.

--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -28,10 +28,13 @@
 	// IdleTimeoutPercent is the percentage of an announced idle timeout for which an idle
 	// connection is kept, so that the upstream never closes it while a request is being sent.
 	IdleTimeoutPercent int
+	// MaxSilence is how long a sound upstream may be silent. Users state a second or so.
+	MaxSilence sequoiasill.Millis
 	// UserTimeout is how long sent data may stay unacknowledged before the connection is
 	// closed, and KeepAliveInterval is the interval of keep-alive probes on a connection without
-	// traffic. On Linux UserTimeout also decides when unanswered probes close the connection, so
-	// that it must exceed the time for which a sound upstream may be silent.
+	// traffic. On Linux UserTimeout also decides when unanswered probes close the connection. It counts
+	// from the last data, before which a probe may have been answered, to a probe that is due and not
+	// sent any more, so that it must exceed MaxSilence by two intervals.
 	UserTimeout       sequoiasill.Millis
 	KeepAliveInterval sequoiasill.Millis
 	MaxIdle           int // idle connections per upstream
@@ -44,9 +47,10 @@
 
 // DefaultOptions returns the options that entries use.
 func DefaultOptions() Options {
+	const maxSilence, keepAliveInterval = 2500 * sequoiasill.Millis(1), sequoiasill.Second
 	return Options{
 		DialTimeout: 500, IdleTimeout: 3 * sequoiasill.Second, IdleTimeoutPercent: 50,
-		UserTimeout: 3 * sequoiasill.Second, KeepAliveInterval: sequoiasill.Second, MaxIdle: 16, MaxHeaderBytes: 64 << 10,
+		MaxSilence: maxSilence, UserTimeout: maxSilence + 2*keepAliveInterval, KeepAliveInterval: keepAliveInterval, MaxIdle: 16, MaxHeaderBytes: 64 << 10,
 	}
 }
 
--- a/relay/connector/connector_test.go
+++ b/relay/connector/connector_test.go
@@ -311,9 +311,11 @@
 	}
 }
 
-// A sound upstream may be silent for a second or so, also during two keep-alive probes.
+// Guards against LOST: Linux ends a connection once it has received nothing for the user timeout and a probe is
+// unanswered, so that a silence may begin just before the first probe and end just after the last one.
 func TestConnectionsSurviveShortSilence(t *testing.T) {
-	if got, least := connector.DefaultOptions().UserTimeout, 2500*sequoiasill.Millis(1); got < least {
+	o := connector.DefaultOptions()
+	if got, least := o.UserTimeout-2*o.KeepAliveInterval, 2500*sequoiasill.Millis(1); got < least {
 		t.Errorf("connections end after %s of silence, at least %s are wanted", got, least)
 	}
 }
--- a/relay/connector/outlived.go
+++ b/relay/connector/outlived.go
@@ -29,7 +29,7 @@
 // upstream that does not answer a connect may be silent and go on: it is asked again for as long as a sound
 // one may be silent.
 func (c *Connector) Outlived(ctx context.Context, upstream, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, c.opts.UserTimeout.Duration())
+	ctx, cancel := context.WithTimeout(ctx, c.opts.MaxSilence.Duration())
 	defer cancel()
 	if err := sleep(ctx, settleTime); err != nil {
 		return err
