Absurd numbers in replicas' response headers are limited

An idle timeout of s overflowed, so that the connection was closed after each request instead of kept.

Retry-After was right: 12 characters, and the pause is capped.

--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -465,7 +465,7 @@
 			continue
 		}
 		if s, err := strconv.Atoi(strings.TrimSpace(value)); err == nil {
-			return sequoiasill.Millis(s) * sequoiasill.Second * sequoiasill.Millis(c.opts.IdleTimeoutPercent) / 100
+			return sequoiasill.ClampDuration(float64(s), sequoiasill.Second) * sequoiasill.Millis(c.opts.IdleTimeoutPercent) / 100
 		}
 	}
 	return c.opts.IdleTimeout
