A fact larger than a gossip packet spreads, and holds up none

A fact that is larger than a packet (1,100 bytes) and not urgent was known to its own entry only: it never fitted into a message, and ended each message that came to it, so that updates behind it in the queue were not sent either. Found while looking for what an entry with a version name of some kilobytes does beside the others; the sum of the demand of some thirty organisations or more has that size too, but was not measured.

An update that is larger than a packet is now sent with a probe of its own. One over 60,000 bytes is left to the exchange of states, as a probe that cannot be sent makes its receiver look dead.

On the code before, TestLargeFactsHoldUpNone fails: 1 of 40 members knows the fact, 39 know one that fits.

--- a/decide/gossiper/dissemination.go
+++ b/decide/gossiper/dissemination.go
@@ -201,25 +201,34 @@
 	}
 }
 
+// maxUpdateBytes is the maximum size of an update that is sent with a probe: a UDP packet holds
+// 65,507 bytes, and a probe that cannot be sent looks like the death of its receiver.
+const maxUpdateBytes = 60_000
+
 // addUpdates adds pending updates to a message up to the packet size: the least often
-// transmitted first and, among these, the newest first.
+// transmitted first and, among these, the newest first. An update that is larger than a packet is
+// sent without others, so that it does not hold them up.
 func (g *Gossiper) addUpdates(m *Message) {
 	remaining := g.opts.MaxPacketBytes - memberBytes - len(g.self.Name) - len(g.self.Address)
 	limit := g.maxTransmits()
 	var added []*update
 	for sent := 0; sent < len(g.pendingBySendCount) && remaining > 0; sent++ {
 		queue := g.pendingBySendCount[sent]
-		for len(queue) > 0 {
+		for len(queue) > 0 && remaining > 0 {
 			u := queue[len(queue)-1]
 			if g.pending[u.key()] == u {
 				size := g.updateSize(u)
-				if size > remaining {
+				if size > remaining && len(added) > 0 {
 					remaining = 0
 					break
 				}
-				remaining -= size
-				g.appendUpdate(m, u)
-				added = append(added, u)
+				if size <= maxUpdateBytes {
+					remaining -= size
+					g.appendUpdate(m, u)
+					added = append(added, u)
+				} else {
+					delete(g.pending, u.key())
+				}
 			}
 			queue = queue[:len(queue)-1]
 			g.queuedCount--
--- a/decide/gossiper/gossiper_test.go
+++ b/decide/gossiper/gossiper_test.go
@@ -233,6 +233,32 @@
 	}
 }
 
+// A fact larger than a packet must neither fail to spread nor keep smaller ones from spreading.
+func TestLargeFactsHoldUpNone(t *testing.T) {
+	spread := func(size int) (large, small int) {
+		w := newNetwork(40, 17, 0)
+		w.run(20 * sequoiasill.Second)
+		start := w.now
+		w.publish(0, Fact{Key: "large", Version: 1, Value: make([]byte, size)})
+		w.run(start + sequoiasill.Second)
+		w.publish(0, Fact{Key: "small", Version: 1})
+		w.run(start + 6*sequoiasill.Second)
+		return len(w.learned["large"]), len(w.learned["small"])
+	}
+	fitting, beside := spread(1000)
+	for name, size := range map[string]int{"several packets": 5000, "more than a datagram": 70_000} {
+		t.Run(name, func(t *testing.T) {
+			large, small := spread(size)
+			if small < beside {
+				t.Errorf("%d members know the small fact; want %d, as beside one that fits into a packet", small, beside)
+			}
+			if size <= maxUpdateBytes && large < fitting {
+				t.Errorf("%d members know the large fact; want %d, as of one that fits into a packet", large, fitting)
+			}
+		})
+	}
+}
+
 // Runs with the same seed are identical: the order in which updates are sent does not
 // depend on map iteration. With map order, a test failed once in CI (379 of 380 members
 // after 2 s) and could not be reproduced with its seed.
