An upstream's error reaches a caller that ended its sending side

Cause: the call ended as one whose caller left after every attempt, also after the last one. It does so now only before it would be sent once more.

The new case of TestCallerThatEndsItsSendingSide fails on the code before: 502 instead of 500 with its body.

--- a/relay/dispatcher/departure.go
+++ b/relay/dispatcher/departure.go
@@ -47,8 +47,9 @@
 	return true
 }
 
-// attemptEnded records that the call is at no upstream. If the caller has left meanwhile, the call ends.
-func (d *Dispatcher) attemptEnded(j *job) {
+// awaitRetry records that no upstream has the call until it is sent again. If the caller has left
+// meanwhile, the call ends.
+func (d *Dispatcher) awaitRetry(j *job) {
 	if j.caller == nil {
 		return
 	}
--- a/relay/dispatcher/departure_test.go
+++ b/relay/dispatcher/departure_test.go
@@ -25,6 +25,8 @@
 	}{
 		"runs once, is answered": {path: "/once/x", end: sequoiasill.EndedSending, steps: []step{{status: 200, delay: 200, body: "b"}},
 			want: reply{Status: 200, Body: "b", Ended: true}, attempts: 1, took: time.Second},
+		"runs once, error of the upstream": {path: "/once/x", end: sequoiasill.EndedSending, steps: []step{{status: 500, delay: 200, body: "e"}},
+			want: reply{Status: 500, Body: "e", Ended: true}, attempts: 1, took: time.Second},
 		"runs once, lasts until its deadline": {path: "/once/x", end: sequoiasill.EndedSending, steps: []step{{hang: true}},
 			want: reply{Status: 504, Ended: true}, attempts: 1, took: 3 * time.Second},
 		"runs once, rejected by the upstream": {path: "/once/x", end: sequoiasill.EndedSending, steps: []step{{status: 503, refused: true, delay: 200}},
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -208,7 +208,9 @@
 		} else {
 			n, reason = d.attempt(ctx, j, p)
 		}
-		d.attemptEnded(j)
+		if n == retry {
+			d.awaitRetry(j)
+		}
 		switch {
 		case n == done:
 			return
