--- a/relay/dispatcher/departure.go
+++ b/relay/dispatcher/departure.go
@@ -47,9 +47,9 @@
 	return true
 }
 
-// awaitRetry records that no upstream has the call until it is sent again. If the caller has left
+// recordReturn records that no upstream has the call until it is sent again. If the caller has left
 // meanwhile, the call ends.
-func (d *Dispatcher) awaitRetry(j *job) {
+func (d *Dispatcher) recordReturn(j *job) {
 	if j.caller == nil {
 		return
 	}
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -227,7 +227,7 @@
 			n, reason = d.attempt(ctx, j, p)
 		}
 		if n == retry {
-			d.awaitRetry(j)
+			d.recordReturn(j)
 		}
 		switch {
 		case n == done:
