--- a/standin/soaker/entry.go
+++ b/standin/soaker/entry.go
@@ -178,12 +178,12 @@
 	mustExitCleanly := s == syscall.SIGTERM && e.isReady()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if mustExitCleanly && !e.stopping {
-		e.stopping, e.stopAt = true, time.Now()
-	}
 	if s != syscall.SIGHUP {
 		e.harness.checker.recordDisruption(e)
 	}
+	if mustExitCleanly && !e.stopping {
+		e.stopping, e.stopAt = true, time.Now()
+	}
 	// An error means that the process has exited already.
 	_ = e.process.Signal(s)
 	return e.exited
