--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -103,6 +103,15 @@
 	})
 }
 
+// Guards against LOST: calls must not end without an answer while sound upstreams are silent for a moment.
+func TestSilentUpstreamsCostNoAnswers(t *testing.T) {
+	runSoak(t, soaker.Options{
+		Seed: 48200, Duration: 5 * time.Second, Silent: true, OnlyFault: "all replicas of a service fall silent", Binary: build(t),
+		Entries: 3, Replicas: 4, Engines: 4, Callers: 16, Rate: 150,
+		RetryLimits: usualRetries,
+	})
+}
+
 // Entries that reach no upstream must go on serving their callers.
 func TestCallersOfStrandedEntriesAreServed(t *testing.T) {
 	runSoak(t, soaker.Options{
@@ -233,7 +242,7 @@
 		if err != nil {
 			t.Fatalf("seed %q: %v", fields[0], err)
 		}
-		out[fields[0]+" "+fields[1]] = soaker.Options{Seed: seed, PlannedOnly: fields[1] == "planned", Storm: fields[1] == "storm"}
+		out[fields[0]+" "+fields[1]] = soaker.Options{Seed: seed, PlannedOnly: fields[1] == "planned", Storm: fields[1] == "storm", Silent: fields[1] == "silent"}
 	}
 	if err := s.Err(); err != nil {
 		t.Fatal(err)
