Sums and rates beyond integers are converted with a check

The wait for a quota with a tiny rate was negative (arm64: -2^63 ms), and so told the caller nothing. Demand, the number of upstreams for a load and the calls that a rate allows were converted from floats without a check; a rate of NaN in a message of another entry made the keeper's arithmetic NaN.

These conversions are checked now, and a message with a rate that is no number of calls is refused like one that cannot be decoded. Sizes and nesting of messages were right: the CBOR decoder allows 32 levels and 131,072 elements.

The estimator's and the throttler's conversions have no test of their own: on arm64 they saturate, which cannot be told from the mend.

--- a/decide/allotter/allotter.go
+++ b/decide/allotter/allotter.go
@@ -211,12 +211,12 @@
 	case fresh && remaining > reserveFraction*acc.Burst && a.totalDemand[acc.Name] < normalDemandFraction*acc.RatePerSec:
 		s.level = max(s.level-cost, min(s.level, 0))
 	case fresh && remaining < -overdraftFraction*acc.Burst:
-		return sequoiasill.Millis((-overdraftFraction*acc.Burst-remaining)/acc.RatePerSec*float64(sequoiasill.Second)) + 1, false
+		return sequoiasill.ClampDuration((-overdraftFraction*acc.Burst-remaining)/acc.RatePerSec, sequoiasill.Second) + 1, false
 	case s.level > 0:
 		s.level -= cost
 	default:
 		rate := a.rate(acc) * a.fraction(acc.Name)
-		return sequoiasill.Millis(-s.level/rate*float64(sequoiasill.Second)) + 1, false
+		return sequoiasill.ClampDuration(-s.level/rate, sequoiasill.Second) + 1, false
 	}
 	s.spent += cost
 	return 0, true
--- a/decide/allotter/allotter_test.go
+++ b/decide/allotter/allotter_test.go
@@ -259,3 +259,15 @@
 		}
 	})
 }
+
+// The wait for a quota that is all but none must not overflow into the past.
+func TestWaitForTinyRate(t *testing.T) {
+	tiny := &sequoiasill.Account{Name: "tiny", CountsTokens: true, RatePerSec: 1e-300, Burst: 1}
+	a := allotter.New(allotter.Limits{Window: 8 * sequoiasill.Second}, 1, true)
+	for range 5 {
+		a.Take(0, tiny, 1e9)
+	}
+	if wait, ok := a.Take(0, tiny, 1e9); ok || wait < sequoiasill.Day || wait > 2*sequoiasill.MaxDuration {
+		t.Errorf("wait %s, admitted %t; want a long wait", wait, ok)
+	}
+}
--- a/decide/estimator/estimator.go
+++ b/decide/estimator/estimator.go
@@ -50,7 +50,7 @@
 
 // upstreams returns the number of upstreams that serve the peak load at a utilisation.
 func (p *peak) upstreams(utilisation float64) int {
-	return int(math.Ceil(p.load / (float64(sequoiasill.Second) * utilisation)))
+	return int(sequoiasill.ClampNumber(math.Ceil(p.load/(float64(sequoiasill.Second)*utilisation)), math.MaxInt32))
 }
 
 // Estimator tracks the load of one service. Its zero value is ready for use. It is not
--- a/decide/throttler/limit.go
+++ b/decide/throttler/limit.go
@@ -1,6 +1,7 @@
 package throttler
 
 import (
+	"math"
 	"slices"
 
 	"sequoiasill.dev/sequoiasill"
@@ -48,7 +49,7 @@
 
 // capacity returns the maximum of countCalls.
 func (l *limit) capacity() int {
-	return int(boundFactor*boundWindow.Duration().Seconds()*l.rate + boundBurst - reservedCalls)
+	return int(sequoiasill.ClampNumber(boundFactor*boundWindow.Duration().Seconds()*l.rate+boundBurst-reservedCalls, math.MaxInt32))
 }
 
 // countCalls returns the number of calls that arrived within CountWindow or may still
--- a/decide/throttler/throttler.go
+++ b/decide/throttler/throttler.go
@@ -311,7 +311,7 @@
 	untilToken := (1 - l.tokens) / rate
 	fairDelay := float64(len(l.requesters)) / (asksPerGrant * rate) * (0.5 + t.rand.Float64())
 	seconds := max(untilToken, fairDelay)
-	return min(max(sequoiasill.Millis(seconds*float64(sequoiasill.Second)), minWait), maxWait)
+	return min(max(sequoiasill.ClampDuration(seconds, sequoiasill.Second), minWait), maxWait)
 }
 
 // Outcome is the outcome of a granted call.
--- a/relay/exchanger/brittle.go
+++ b/relay/exchanger/brittle.go
@@ -23,7 +23,7 @@
 
 func (e *Exchanger) handleBrittle(service string, f gossiper.Fact) {
 	rejections, err := strconv.ParseFloat(string(f.Value), 64)
-	if err != nil || rejections <= 0 {
+	if err != nil || !(rejections > 0 && rejections <= sequoiasill.MaxNumber) {
 		e.log.Warn("fact cannot be read", "key", f.Key, "error", err)
 		return
 	}
--- a/relay/exchanger/codec.go
+++ b/relay/exchanger/codec.go
@@ -102,7 +102,7 @@
 func toInts(m map[string]float64) map[string]int64 {
 	out := make(map[string]int64, len(m))
 	for name, v := range m {
-		out[name] = int64(v)
+		out[name] = sequoiasill.ClampNumber(v, sequoiasill.MaxNumber)
 	}
 	return out
 }
--- a/relay/exchanger/limitcodec.go
+++ b/relay/exchanger/limitcodec.go
@@ -90,11 +90,35 @@
 	return w, errors.Annotatef(err, "decode %s", what)
 }
 
-func decodeLimit(b []byte) (wireLimit, error)       { return decode[wireLimit](b, "limit") }
-func decodeAsk(b []byte) (wireAsk, error)           { return decode[wireAsk](b, "ask") }
 func decodeDecision(b []byte) (wireDecision, error) { return decode[wireDecision](b, "decision") }
-func decodeUse(b []byte) (wireUse, error)           { return decode[wireUse](b, "use of a permit") }
-func decodeCensus(b []byte) (wireCensus, error)     { return decode[wireCensus](b, "census") }
+
+func decodeLimit(b []byte) (wireLimit, error) {
+	w, err := decode[wireLimit](b, "limit")
+	return w, checkRate(w.PerSecond, err)
+}
+
+func decodeAsk(b []byte) (wireAsk, error) {
+	w, err := decode[wireAsk](b, "ask")
+	return w, checkRate(w.PerSecond, err)
+}
+
+func decodeUse(b []byte) (wireUse, error) {
+	w, err := decode[wireUse](b, "use of a permit")
+	return w, checkRate(w.PerSecond, err)
+}
+
+func decodeCensus(b []byte) (wireCensus, error) {
+	w, err := decode[wireCensus](b, "census")
+	return w, checkRate(w.PerSecond, err)
+}
+
+// checkRate returns err, or an error if a rate is no number that a limit can have.
+func checkRate(perSecond float64, err error) error {
+	if err == nil && !(perSecond >= 0 && perSecond <= sequoiasill.MaxNumber) {
+		return errors.Errorf("rate of %g calls per second", perSecond)
+	}
+	return err
+}
 
 func toWireSends(sends []throttler.SentCalls) []wireSends {
 	var out []wireSends
