A stored usage record of another writer stops no reports

A record of kind sequoiasill that cannot be decoded, or whose window lies ahead, stopped the reports of usage for as long as it was there: each attempt failed to load it, or waited for a window that never comes. It is replaced now, as quarantines in that state already are; the counts that entries announced to each other (KnownRecord) still keep a window from being reported twice.

--- a/control/accountant/accountant.go
+++ b/control/accountant/accountant.go
@@ -87,7 +87,7 @@
 		a.epoch, a.loaded = epoch, false
 	}
 	if !a.loaded {
-		if err := a.load(); err != nil {
+		if err := a.load(now); err != nil {
 			return err
 		}
 	}
@@ -123,18 +123,17 @@
 
 // load reads the counts that the previous lease holder recorded. Their report may not
 // have been sent.
-func (a *Accountant) load() error {
+func (a *Accountant) load(now sequoiasill.Millis) error {
 	value, version, err := a.store.Read(recordName)
 	if err != nil {
 		return errors.Annotate(err, "read usage record")
 	}
 	a.version, a.last, a.sent = version, record{}, false
 	if version > 0 {
-		var w wireRecord
-		if err := json.Unmarshal(value, &w); err != nil {
-			return errors.Annotate(err, "decode usage record")
+		a.last, err = a.decode(value, now)
+		if err != nil {
+			a.log.Warn("stored usage record cannot be used and will be replaced", "version", version, "error", err)
 		}
-		a.last = record(w)
 	}
 	if window, calls, ok := a.witness.KnownRecord(); ok && window > a.last.Window {
 		a.log.Warn("stored usage record is older than the announced one", "stored", a.last.Window, "announced", window)
@@ -144,6 +143,19 @@
 	return nil
 }
 
+// decode decodes a stored record. One that another writer left could otherwise stop the reports for
+// as long as it is there.
+func (a *Accountant) decode(value []byte, now sequoiasill.Millis) (record, error) {
+	var w wireRecord
+	if err := json.Unmarshal(value, &w); err != nil {
+		return record{}, errors.Annotate(err, "decode usage record")
+	}
+	if w.Window < 0 || w.Window > int64(now/a.opts.Window) {
+		return record{}, errors.Errorf("its window is %d", w.Window)
+	}
+	return record(w), nil
+}
+
 // writeRecord records the counts of a window. After a failed write, whose outcome is
 // unknown, the record is loaded again.
 func (a *Accountant) writeRecord(r record, mayAct func() bool) error {
--- a/control/accountant/accountant_test.go
+++ b/control/accountant/accountant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -176,3 +177,20 @@
 		t.Errorf("reports (-want +got):\n%s", diff)
 	}
 }
+
+// A stored record that another writer left must not stop the reports of usage.
+func TestOddRecordStopsNoReports(t *testing.T) {
+	for name, value := range map[string]string{
+		"nested": strings.Repeat("[", 20000) + strings.Repeat("]", 20000), "no JSON": "\x00", "a window that never comes": `{"window":9223372036854775806}`,
+		"a window number above all": `{"window":1e30}`, "a window before all": `{"window":-5}`, "counts of another type": `{"window":1,"calls":{"small":"2"}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &cloud{}
+			a := accountant.New(options, &store{value: []byte(value), version: 7}, c, counter{3: {"small": 4}}, &witness{}, hclog.NewNullLogger())
+			act(t, a, 5_000, 40_000, 1)
+			if diff := cmp.Diff([]report{{1, 3, map[string]int{"small": 4}}}, c.reports); diff != "" {
+				t.Errorf("reports (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
