--- a/decide/allotter/allotter.go
+++ b/decide/allotter/allotter.go
@@ -215,7 +215,7 @@
 	remaining, fresh := s.remaining(now)
 	switch {
 	case fresh && remaining < -overdraftFraction*acc.Burst:
-		return sequoiasill.Millis((-overdraftFraction*acc.Burst-remaining)/acc.RatePerSec*float64(sequoiasill.Second)) + 1, false
+		return sequoiasill.ClampDuration((-overdraftFraction*acc.Burst-remaining)/acc.RatePerSec, sequoiasill.Second) + 1, false
 	case fresh && a.mayBorrow(acc, s, remaining):
 		own := min(max(s.level, 0), cost)
 		s.level -= own
@@ -224,7 +224,7 @@
 		s.level -= cost
 	default:
 		rate := a.rate(acc) * a.fraction(acc.Name)
-		return sequoiasill.Millis(-s.level/rate*float64(sequoiasill.Second)) + 1, false
+		return sequoiasill.ClampDuration(-s.level/rate, sequoiasill.Second) + 1, false
 	}
 	s.spent += cost
 	return 0, true
