--- a/relay/dispatcher/departure_test.go
+++ b/relay/dispatcher/departure_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/relay/dispatcher"
 )
@@ -69,3 +70,30 @@
 		})
 	}
 }
+
+// A call that runs once and is at another entry is at an upstream, as far as this one knows.
+func TestCallerThatEndsItsSendingSideOfRelayedCall(t *testing.T) {
+	tests := map[string]struct {
+		end  sequoiasill.ConnectionEnd
+		step relayStep
+		want reply
+	}{
+		"is answered": {sequoiasill.EndedSending, relayStep{status: 200, body: "b", delay: 200}, reply{Status: 200, Body: "b", Ended: true}},
+		"reset":       {sequoiasill.EndedByReset, relayStep{status: 200, body: "b", delay: 200}, reply{WasCut: true}},
+		"refused": {sequoiasill.EndedSending, relayStep{refusal: sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeNoUpstream, 503, "none"), delay: 200},
+			reply{Status: 503, Ended: true, RetryAfter: 250}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancelCause(context.Background())
+			time.AfterFunc(50*time.Millisecond, func() { cancel(&sequoiasill.ConnectionError{End: tc.end}) })
+			relays := &fakeRelays{entries: 2, steps: []relayStep{tc.step}}
+			d := newRelayingDispatcher(t, &fakeTransport{}, &fakePeers{usageCounts: make(map[string]int)}, &fakePaths{state: pathmonitor.Unreachable}, relays)
+			r := &reply{}
+			d.Serve(ctx, call("/once/x", "key"), r)
+			if diff := cmp.Diff([]any{tc.want, 1}, []any{*r, len(relays.calls)}); diff != "" {
+				t.Errorf("reply and offers (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
