explain names the end of a request without a response

What operators saw: sequoiactl explain told an upstream's response as the outcome of a request whose response could not be written, or whose handler failed.

The messages of these ends are outcomes now. TestRequestWithoutAnswerIsExplained fails in all four cases on the list before: "attempt".

--- a/cmd/internal/explainer/explainer.go
+++ b/cmd/internal/explainer/explainer.go
@@ -69,7 +69,10 @@
 
 // outcomeMessages are the log messages that give the outcome of a request. If a
 // request has several of them, the one that is latest in this list counts.
-var outcomeMessages = []string{"attempt", "relayed", "answered", "caller left", "stream cut", "refused"}
+var outcomeMessages = []string{
+	"attempt", "relayed", "answered", "caller left", "stream cut", "refused", "failed to read request", "response not delivered", "connection ended",
+	"panic while serving a request",
+}
 
 // Explain reconstructs the handling of a request from the lines of all entries. It
 // returns false if no line mentions the request.
--- a/cmd/internal/explainer/explainer_test.go
+++ b/cmd/internal/explainer/explainer_test.go
@@ -68,3 +68,21 @@
 		t.Error("found a request that no line mentions")
 	}
 }
+
+// Guards against an upstream's response that is told as the outcome of a request which got none.
+func TestRequestWithoutAnswerIsExplained(t *testing.T) {
+	for _, message := range []string{"failed to read request", "response not delivered", "connection ended", "panic while serving a request"} {
+		t.Run(message, func(t *testing.T) {
+			lines, err := explainer.Read(strings.NewReader(log + `{"@timestamp":"2026-01-01T00:00:06Z","@message":"` + message + `","entry":"edge-b","request":"r2","cause":"c"}
+{"@timestamp":"2026-01-01T00:00:07Z","@message":"testing quarantined parts","entry":"edge-b","request":"r2"}
+`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			trace, _ := explainer.Explain("r2", lines)
+			if diff := cmp.Diff(message, trace.Outcome.Message); diff != "" {
+				t.Errorf("outcome (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
