--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -256,7 +256,7 @@
 	Services: []sequoiasill.TrafficService{{Name: "plain"}},
 	Accounts: []sequoiasill.Account{
 		{Name: "small", Keys: []string{"key"}},
-		{Name: "spent", Keys: []string{"spent"}, RatePerSec: 1, Burst: 1},
+		{Name: "spent", Keys: []string{"spent"}, CountsTokens: true, DefaultCost: 100, RatePerSec: 1, Burst: 1}, // one call overdraws it
 	},
 }
 
