Keepers of limits hear of calls that were given up and may still come

When an entry gives up a call that it sent without a permit, the registrar counted it as arrived at that moment and forgot it 5 s later. If the upstream stands still, the call comes when it goes on, after the keeper's count has lost it, and the keeper grants permits beyond the bound. A call with a permit stays outstanding in this case, and so does one in the budget of repeats.

The registrar now counts a call that ended without a response, or that the entry no longer waits for, as outstanding for the time that the throttler uses for calls with unknown outcome.

TestCallsThatMayStillArriveAreReported failed on the old code: the keeper was told of a call that arrived, not of one that may.

--- a/decide/registrar/limit.go
+++ b/decide/registrar/limit.go
@@ -27,8 +27,9 @@
 
 // sendLog counts the recent calls to an upstream.
 type sendLog struct {
-	arrivals []sequoiasill.Millis
-	pending  int
+	arrivals  []sequoiasill.Millis
+	pending   int
+	abandoned []sequoiasill.Millis // times of the ends of sends whose calls may still arrive
 }
 
 // directLimitPrecedence is how long a limit that a response announced overrides gossip
@@ -99,7 +100,7 @@
 	k := KnownLimit{Active: s.limit.active, Direct: s.limit.active && s.limit.direct, PerSecond: s.limit.perSecond, Age: now - s.limit.reportedAt}
 	s.limit.expire(now)
 	for granter, log := range s.limit.sendLogs {
-		sends := throttler.SentCalls{Granter: granter, Outstanding: log.pending}
+		sends := throttler.SentCalls{Granter: granter, Outstanding: log.pending + len(log.abandoned)}
 		for _, at := range log.arrivals {
 			sends.Ages = append(sends.Ages, now-at)
 		}
@@ -109,7 +110,7 @@
 }
 
 // SendStarted counts a call that is being sent to an upstream, under a grant of the limit's
-// keeper or, with an empty granter, without one. SendArrived must follow.
+// keeper or, with an empty granter, without one. SendArrived or SendAbandoned must follow.
 func (r *Registrar) SendStarted(name, granter string) {
 	s, ok := r.replicas[name]
 	if !ok {
@@ -126,16 +127,25 @@
 	log.pending++
 }
 
-// SendArrived counts a call that arrived at an upstream, or whose arrival is no longer
-// awaited.
+// SendArrived counts a call that arrived at an upstream or can no longer arrive.
 func (r *Registrar) SendArrived(now sequoiasill.Millis, name, granter string) {
+	r.endSend(now, name, granter, func(log *sendLog) { log.arrivals = append(log.arrivals, now) })
+}
+
+// SendAbandoned counts a call that ended without a response and may still arrive, as it does after
+// a pause of the upstream.
+func (r *Registrar) SendAbandoned(now sequoiasill.Millis, name, granter string) {
+	r.endSend(now, name, granter, func(log *sendLog) { log.abandoned = append(log.abandoned, now) })
+}
+
+func (r *Registrar) endSend(now sequoiasill.Millis, name, granter string, count func(log *sendLog)) {
 	s, ok := r.replicas[name]
 	if !ok {
 		return
 	}
 	if log := s.limit.sendLogs[granter]; log != nil {
 		log.pending = max(log.pending-1, 0)
-		log.arrivals = append(log.arrivals, now)
+		count(log)
 	}
 	s.limit.expire(now)
 }
@@ -144,7 +154,8 @@
 func (l *limit) expire(now sequoiasill.Millis) {
 	for granter, log := range l.sendLogs {
 		log.arrivals = slices.DeleteFunc(log.arrivals, func(at sequoiasill.Millis) bool { return now-at > throttler.CountWindow })
-		if log.pending == 0 && len(log.arrivals) == 0 {
+		log.abandoned = slices.DeleteFunc(log.abandoned, func(at sequoiasill.Millis) bool { return now-at > throttler.OutstandingTTL })
+		if log.pending == 0 && len(log.arrivals) == 0 && len(log.abandoned) == 0 {
 			delete(l.sendLogs, granter)
 		}
 	}
--- a/decide/registrar/limit_test.go
+++ b/decide/registrar/limit_test.go
@@ -114,6 +114,30 @@
 	}
 }
 
+// A call that was given up counts as long as it may arrive and then count.
+func TestAbandonedCallsCountUntilTheyCanNoLongerArrive(t *testing.T) {
+	up := throttler.Upstream{Name: "a"}
+	for name, tc := range map[string]struct {
+		after sequoiasill.Millis // its end
+		want  []throttler.SentCalls
+	}{
+		"at once":                      {0, []throttler.SentCalls{{Outstanding: 1}}},
+		"when an arrival would expire": {throttler.CountWindow + 1, []throttler.SentCalls{{Outstanding: 1}}},
+		"it still counts":              {throttler.OutstandingTTL, []throttler.SentCalls{{Outstanding: 1}}},
+		"it can no longer count":       {throttler.OutstandingTTL + 1, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(registrar.DefaultOptions(), 1)
+			r.Announce(0, sequoiasill.Replica{Name: "a", Service: "s", Revision: 1})
+			r.SendStarted("a", "")
+			r.SendAbandoned(1000, "a", "")
+			if diff := cmp.Diff(tc.want, r.KnownLimit(1000+tc.after, up).Sends); diff != "" {
+				t.Errorf("sent calls (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // The wait is that for the first upstream whose denial ends.
 func TestNextAvailableWhileAllDeny(t *testing.T) {
 	r := registrar.New(registrar.DefaultOptions(), 1)
--- a/decide/throttler/limit.go
+++ b/decide/throttler/limit.go
@@ -55,7 +55,7 @@
 // arrive.
 func (l *limit) countCalls(now sequoiasill.Millis) int {
 	for c, at := range l.outstanding {
-		if now-at > outstandingTTL {
+		if now-at > OutstandingTTL {
 			delete(l.outstanding, c)
 		}
 	}
@@ -64,7 +64,7 @@
 	n := len(l.outstanding) + len(l.arrivals)
 	for _, r := range l.reports {
 		r.arrivals = slices.DeleteFunc(r.arrivals, expired)
-		if now-r.receivedAt > outstandingTTL {
+		if now-r.receivedAt > OutstandingTTL {
 			r.outstanding = 0
 		}
 		n += len(r.arrivals) + r.outstanding
--- a/decide/throttler/throttler.go
+++ b/decide/throttler/throttler.go
@@ -35,6 +35,10 @@
 // boundWindow, as the upstream may count a call slightly later than the entries do.
 const CountWindow = 5 * sequoiasill.Second
 
+// OutstandingTTL is the time for which a call with unknown outcome counts. It covers calls that
+// arrive late and then count for CountWindow.
+const OutstandingTTL = 10*sequoiasill.Second + CountWindow
+
 const (
 	// reservedCalls is the part of the bound that is never granted.
 	reservedCalls = 1
@@ -43,9 +47,6 @@
 	// minRate is the lowest rate of grants, in calls per second. It applies even to lower
 	// limits, as only the response to a call shows that a limit has been lifted.
 	minRate = 0.1
-	// outstandingTTL is the time for which a call with unknown outcome counts. It covers
-	// calls that arrive late and then count for CountWindow.
-	outstandingTTL = 10*sequoiasill.Second + CountWindow
 	// pauseThreshold is the time without a tick after which another keeper may have granted
 	// permits while this process was paused.
 	pauseThreshold = sequoiasill.Second
--- a/relay/dispatcher/limit.go
+++ b/relay/dispatcher/limit.go
@@ -104,18 +104,24 @@
 }
 
 // settleSend reports the end of the send to the registrar and, if there was a permit, to the
-// keeper of the upstream's rate limit. l is the zero value without a response. A call that may
-// still reach the upstream is not reported to the keeper, which goes on counting it as
-// outstanding.
+// keeper of the upstream's rate limit. l is the zero value without a response. The registrar and
+// the keeper go on counting a call that may still reach the upstream as outstanding.
 func (t *try) settleSend(k classifier.Kind, l registrar.Limit) {
+	mayArrive := k == classifier.NoResponse || k == classifier.GivenUp
 	if t.maybeSent {
-		t.d.WithRegistrar(func(g *registrar.Registrar) { g.SendArrived(t.d.clock.Now(), t.choice.Replica.Name, t.granter()) })
+		t.d.WithRegistrar(func(g *registrar.Registrar) {
+			if mayArrive {
+				g.SendAbandoned(t.d.clock.Now(), t.choice.Replica.Name, t.granter())
+				return
+			}
+			g.SendArrived(t.d.clock.Now(), t.choice.Replica.Name, t.granter())
+		})
 	}
 	switch {
 	case t.permit == nil:
 	case !t.maybeSent:
 		t.d.peers.ReportOutcome(*t.permit, throttler.Unsent, l)
-	case k != classifier.NoResponse && k != classifier.GivenUp:
+	case !mayArrive:
 		t.d.peers.ReportOutcome(*t.permit, throttler.Arrived, l)
 	}
 }
--- a/relay/dispatcher/limit_test.go
+++ b/relay/dispatcher/limit_test.go
@@ -96,6 +96,34 @@
 	}
 }
 
+// Guards against LIMIT: a call sent without a permit to an upstream that stands still comes when it goes
+// on, also if it was given up, so the keeper of a limit named then must hear of it.
+func TestCallsThatMayStillArriveAreReported(t *testing.T) {
+	tests := map[string]struct {
+		step step
+		want throttler.SentCalls
+	}{
+		"answered":           {step{status: 200, body: "good"}, throttler.SentCalls{Ages: []sequoiasill.Millis{0}}},
+		"closed by upstream": {step{fail: true, verdict: sequoiasill.MayHaveRun}, throttler.SentCalls{Ages: []sequoiasill.Millis{0}}},
+		"given up":           {step{hang: true}, throttler.SentCalls{Outstanding: 1}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := &fakeTransport{steps: []step{tc.step}}
+			d := newDispatcher(t, c, &fakePeers{usageCounts: make(map[string]int)})
+			d.Serve(context.Background(), call("/once/x", "key"), &reply{})
+			got := d.KnownLimit(throttler.Upstream{Name: c.sentTo()[0]}).Sends
+			// The time of an arrival is not compared.
+			for _, s := range got {
+				clear(s.Ages)
+			}
+			if diff := cmp.Diff([]throttler.SentCalls{tc.want}, got); diff != "" {
+				t.Errorf("sent calls (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A call for which no upstream grants a permit is refused at once, with the time until the
 // first one accepts calls again. Until then, no permits are requested for later calls.
 func TestRefusalWhileAllUpstreamsAreRateLimited(t *testing.T) {
