A usage record that cannot be used leaves no window to be reported twice

A record from a clock that is ahead was unusable, too.

Windows that have settled are taken as reported when the record is unusable, as a missing report costs less than a second one, and a record may be up to a minute ahead. Both cases of TestWindowOfAnUnusableRecordIsNotReportedAgain fail on the code before.

--- a/control/accountant/accountant.go
+++ b/control/accountant/accountant.go
@@ -108,10 +108,14 @@
 	return sequoiasill.Millis(window+1) * a.opts.Window
 }
 
+func (a *Accountant) newestSettled(now sequoiasill.Millis) int64 {
+	return int64((now-a.opts.Settle)/a.opts.Window) - 1
+}
+
 // due returns the first window after the last recorded one that has settled and whose
 // report is not late. Windows without calls need no report.
 func (a *Accountant) due(now sequoiasill.Millis) (int64, bool) {
-	newest := int64((now-a.opts.Settle)/a.opts.Window) - 1
+	newest := a.newestSettled(now)
 	oldest := int64((now-a.opts.Delay)/a.opts.Window) - 1
 	for w := max(a.last.Window+1, oldest+1); w <= newest; w++ {
 		if len(a.counter.Total(w)) > 0 {
@@ -132,7 +136,9 @@
 	if version > 0 {
 		a.last, err = a.decode(value, now)
 		if err != nil {
-			a.log.Warn("stored usage record cannot be used and will be replaced", "version", version, "error", err)
+			// Another holder may have reported each window that has settled.
+			a.last, a.sent = record{Window: a.newestSettled(now)}, true
+			a.log.Warn("stored usage record cannot be used and will be replaced", "version", version, "reportsAfter", a.last.Window, "error", err)
 		}
 	}
 	if window, calls, ok := a.witness.KnownRecord(); ok && window > a.last.Window {
@@ -143,6 +149,9 @@
 	return nil
 }
 
+// maxClockLead is how far the clock of the holder that wrote a record may have been ahead.
+const maxClockLead = sequoiasill.Minute
+
 // decode decodes a stored record. One that another writer left could otherwise stop the reports for
 // as long as it is there.
 func (a *Accountant) decode(value []byte, now sequoiasill.Millis) (record, error) {
@@ -150,7 +159,7 @@
 	if err := json.Unmarshal(value, &w); err != nil {
 		return record{}, errors.Annotate(err, "decode usage record")
 	}
-	if w.Window < 0 || w.Window > int64(now/a.opts.Window) {
+	if w.Window < 0 || w.Window > int64((now+maxClockLead)/a.opts.Window) {
 		return record{}, errors.Errorf("its window is %d", w.Window)
 	}
 	return record(w), nil
--- a/control/accountant/accountant_test.go
+++ b/control/accountant/accountant_test.go
@@ -194,3 +194,29 @@
 		})
 	}
 }
+
+// Guards against ONE: a window that an earlier holder may have reported is not reported again with other
+// counts because its record was replaced, or comes from a clock ahead.
+func TestWindowOfAnUnusableRecordIsNotReportedAgain(t *testing.T) {
+	for name, tc := range map[string]struct {
+		record string
+		want   []report
+	}{
+		"replaced by another writer": {"\x00", []report{{1, 3, map[string]int{"small": 4}}}},
+		"from a clock ahead":         {`{"window":2,"calls":{"small":2}}`, []report{{1, 2, map[string]int{"small": 2}}, {1, 3, map[string]int{"small": 4}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &cloud{}
+			calls := counter{1: {"small": 3}, 2: {"small": 3}, 3: {"small": 4}}
+			a := accountant.New(options, &store{value: []byte(tc.record), version: 7}, c, calls, &witness{}, hclog.NewNullLogger())
+			from := sequoiasill.Millis(17_250)
+			if name == "from a clock ahead" {
+				from = 9_000
+			}
+			act(t, a, from, 40_000, 1)
+			if diff := cmp.Diff(tc.want, c.reports); diff != "" {
+				t.Errorf("reports (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
