Calls that were never sent are refused, and relayed calls end with their callers

Three faults of this work, found in review before landing:

- a call that runs once and is relayed counted as passed on when it was offered, so that the end of its caller did not end it: the other entry sent it 0.95 s after the caller had closed (GONE).
Whether the other entry has sent it is not known, so the caller's end cancels it now.
- a call whose attempts were given up while they connected waited to its deadline, although it had not run: 1.5 s instead of 0.8 s with three upstreams that cannot be reached.
It waits only if an attempt may have been sent.
- such a call took one repeat from the budget for each connect: four of them in 1.5 s.
Its timer takes none while the call has one, or has been sent to no upstream.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -66,8 +66,8 @@
 	j.tried[choice.Replica.Name] = true
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	defer func() { j.recordGivenUp(attemptCtx, choice.Replica.Name) }()
 	t := &try{job: j, d: d, choice: choice, prefill: choice.Prefill, started: d.clock.Now(), arrivalsBefore: j.arrivals, permit: p.permit, last: j.isLastRun(), cancel: cancel}
+	defer func() { t.recordGivenUp(attemptCtx) }()
 	a := Attempt{
 		Call: j.call, Replica: choice.Replica, Remaining: d.callEnd(j) - t.started, Priority: j.enginePriority(), ResumeAfter: j.events.last, MaySend: t.maySend,
 	}
--- a/relay/dispatcher/attempttimeout.go
+++ b/relay/dispatcher/attempttimeout.go
@@ -80,9 +80,13 @@
 	t.cancel(errAttemptTimeout)
 }
 
-// takeRetry takes a retry from the budget. Of successive denials, only the first is recorded.
+// takeRetry takes a retry from the budget unless the call has one, or needs none as it has been sent to no
+// upstream yet. Of successive denials, only the first is recorded.
 func (g *attemptTimer) takeRetry(now sequoiasill.Millis) bool {
 	t := g.try
+	if t.retryBudget.HasUnsentRepeat() || t.arrivalsBefore == 0 && !t.maybeSent {
+		return true
+	}
 	before := t.d.rationer.State(now, t.retryBudget)
 	allowed := t.d.rationer.TakeRepeat(now, t.retryBudget)
 	if allowed || !g.retryDenied {
--- a/relay/dispatcher/await.go
+++ b/relay/dispatcher/await.go
@@ -9,11 +9,11 @@
 	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
 )
 
-// recordGivenUp records whether an attempt at an upstream was cancelled for want of a response.
-func (j *job) recordGivenUp(ctx context.Context, upstream string) {
+// recordGivenUp records whether the attempt was cancelled for want of a response.
+func (t *try) recordGivenUp(ctx context.Context) {
 	if errors.Is(context.Cause(ctx), errAttemptTimeout) {
-		j.gaveUp = true
-		j.unanswered = append(j.unanswered, upstream)
+		t.gaveUp = t.gaveUp || t.maybeSent
+		t.unanswered = append(t.unanswered, t.choice.Replica.Name)
 	}
 }
 
--- a/relay/dispatcher/await_test.go
+++ b/relay/dispatcher/await_test.go
@@ -1,7 +1,11 @@
 package dispatcher_test
 
 import (
+	"bytes"
 	"context"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -149,3 +153,35 @@
 		t.Errorf("response (-want +got):\n%s", diff)
 	}
 }
+
+// connectingTransport makes connects that time out.
+type connectingTransport struct{ connects atomic.Int64 }
+
+func (c *connectingTransport) Send(ctx context.Context, _ dispatcher.Attempt) (*dispatcher.Response, error) {
+	c.connects.Add(1)
+	select {
+	case <-ctx.Done():
+	case <-time.After(500 * time.Millisecond):
+	}
+	return nil, sendError{v: sequoiasill.NotRun}
+}
+
+// Guards against calls that are held to their deadline, and against a drained retry budget: a call that was sent
+// to no upstream is refused once all were tried, and takes no repeat.
+func TestCallThatWasNeverSentIsRefused(t *testing.T) {
+	c := &connectingTransport{}
+	var lines bytes.Buffer
+	log := hclog.New(&hclog.LoggerOptions{Output: &lines, Mutex: &sync.Mutex{}})
+	d := newDispatcherOf(c, &fakePeers{usageCounts: make(map[string]int)}, soundScreener(), &fakePaths{}, &fakeRelays{}, filledBudget(), log)
+	k := call("/read/x", "key")
+	k.Deadline = k.ArrivedAt + 10*sequoiasill.Second
+	began := time.Now()
+	var got reply
+	d.Serve(context.Background(), k, &got)
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("refused after %s", took)
+	}
+	if diff := cmp.Diff([]any{503, int64(3), 0}, []any{got.Status, c.connects.Load(), strings.Count(lines.String(), ": repeat:")}); diff != "" {
+		t.Errorf("status, connects and repeats (-want +got):\n%s\n%s", diff, lines.String())
+	}
+}
--- a/relay/dispatcher/departure.go
+++ b/relay/dispatcher/departure.go
@@ -36,17 +36,22 @@
 
 // passOn records that the call is about to be sent, unless its caller has left. The caller holds the lock.
 func (d *Dispatcher) passOn(j *job) bool {
-	if j.caller == nil {
-		return true
-	}
-	if j.caller.Err() != nil {
-		j.cancelCall(context.Cause(j.caller))
+	if d.endIfCallerLeft(j) {
 		return false
 	}
 	j.passedOn = true
 	return true
 }
 
+// endIfCallerLeft ends a call whose caller has left, and reports whether it has. The caller holds the lock.
+func (d *Dispatcher) endIfCallerLeft(j *job) bool {
+	if j.caller == nil || j.caller.Err() == nil {
+		return false
+	}
+	j.cancelCall(context.Cause(j.caller))
+	return true
+}
+
 // recordReturn records that no upstream has the call until it is sent again. If the caller has left
 // meanwhile, the call ends.
 func (d *Dispatcher) recordReturn(j *job) {
@@ -56,9 +61,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	j.passedOn = false
-	if j.caller.Err() != nil {
-		j.cancelCall(context.Cause(j.caller))
-	}
+	d.endIfCallerLeft(j)
 }
 
 // finishLeft ends a call whose caller left. One whose sending side ended is told whether the call may
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -132,11 +132,12 @@
 }
 
 // countRelay counts a call towards the retry budget as it is offered to another entry, unless its caller
-// has left.
+// has left. Whether the other entry has sent the call is not known here, so a caller that leaves later
+// cancels it.
 func (d *Dispatcher) countRelay(t *try, peer peerpicker.Peer) (*rationer.Send, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.passOn(t.job) {
+	if d.endIfCallerLeft(t.job) {
 		return nil, false
 	}
 	return d.rationer.Sent(t.started, t.retryBudget, peer.Name), true
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -39,7 +39,7 @@
 	relayed    bool            // another entry relayed the call
 	notSent    int             // upstreams to which no connection could be made
 	unanswered []string        // tried upstreams to which no connection could be made, or whose attempts were given up
-	gaveUp     bool            // an attempt was cancelled for want of a response
+	gaveUp     bool            // an attempt that may have been sent was cancelled for want of a response
 	awaited    bool            // the call has waited for an upstream
 	arrivals   int             // upstreams that the call reached
 	// arrivalsElsewhere are those of them that it reached from the entry that relayed it, which took a repeat for
@@ -59,7 +59,7 @@
 	// For calls that run only once:
 	caller     context.Context // ends when the caller leaves
 	cancelCall context.CancelCauseFunc
-	passedOn   bool // an upstream or another entry has the call; guarded by the dispatcher's lock
+	passedOn   bool // an upstream has the call; guarded by the dispatcher's lock
 }
 
 // isLastRun reports whether the call may not be retried once another upstream has run it.
