Soak: another writer leaves an odd entry

The fault leaves an entry of kind servers that is nested too deeply, no JSON, or has slots or a port out of range, beside a replica that is replaced and an entry that restarts. It counts as planned work, so that it excuses nothing. The new replica must get a call, and the entry be ready, within 6 s each, unless an unplanned fault or its effects overlap.

--- a/standin/soaker/faults.go
+++ b/standin/soaker/faults.go
@@ -33,6 +33,7 @@
 	}},
 	{"replace a replica", true, (*Harness).replaceReplica},
 	{"replace a replica that tells it to its callers only", true, (*Harness).replaceWithoutStoreNotice},
+	{oddEntryFault, true, (*Harness).leaveOddEntry},
 	{"ask for pauses", false, func(h *Harness, duration time.Duration) {
 		h.withRandomReplica(func(r *replica) { withFault([]*replica{r}, duration, requestPause) })
 	}},
@@ -353,12 +354,17 @@
 			h.checker.addViolation("replica not started: %v", err)
 			return
 		}
-		h.unregister(r)
-		r.startDraining()
-		h.store.Put("servers", r.id, r.storeRecord())
-		h.checker.recordDraining(r.id)
-		time.Sleep(replicaDrainTime)
-		h.deregister(r)
-		r.close()
+		h.retire(r)
 	})
 }
+
+// retire stops a replica after it has drained.
+func (h *Harness) retire(r *replica) {
+	h.unregister(r)
+	r.startDraining()
+	h.store.Put("servers", r.id, r.storeRecord())
+	h.checker.recordDraining(r.id)
+	time.Sleep(replicaDrainTime)
+	h.deregister(r)
+	r.close()
+}
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -26,6 +26,7 @@
 	proxy              *proxy
 	server             *http.Server
 	inFlight           atomic.Int64
+	arrivals           atomic.Int64 // calls that arrived
 	lossPer1000        atomic.Int64 // calls per 1000 that are executed but get no response
 	errorsPer1000      atomic.Int64 // calls per 1000 that fail
 	rejectsPer1000     atomic.Int64 // calls per 1000 that are rejected
@@ -205,6 +206,7 @@
 	if req.URL.Path == healthPath {
 		return
 	}
+	r.arrivals.Add(1)
 	id := req.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	r.checker.recordArrival(id, r.service, attemptTimeout(req), r.proxy.faultyWithin(heldUpTime) || r.proxy.senderHeldWithin(req.RemoteAddr, heldUpTime))
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -103,6 +103,15 @@
 	})
 }
 
+// Guards against LOST: an entry of another writer must cost no call.
+func TestOddEntryCostsNoCall(t *testing.T) {
+	runSoak(t, soaker.Options{
+		Seed: 48101, Duration: time.Second, OnlyFault: "another writer leaves an odd entry", Binary: build(t),
+		Entries: 3, Replicas: 4, Engines: 4, Callers: 16, Rate: 150,
+		RetryLimits: usualRetries,
+	})
+}
+
 // Entries that reach no upstream must go on serving their callers.
 func TestCallersOfStrandedEntriesAreServed(t *testing.T) {
 	runSoak(t, soaker.Options{
