A lease that cannot be decoded is reported

If another writer replaces the object of the lease of the duties by one that cannot be decoded, nobody takes the lease: its epoch is not known, and a lower one than before would be refused or, worse, accepted. That is the safe side, but usage and scaling end without a line above debug.

--- a/control/leaseholder/leaseholder.go
+++ b/control/leaseholder/leaseholder.go
@@ -44,8 +44,10 @@
 	clock sequoiasill.Clock
 	log   hclog.Logger
 	stop  chan bool // whether to release the lease
-	once  sync.Once
-	done  chan struct{}
+
+	unreadable uint64 // version of the last object that could not be decoded
+	once       sync.Once
+	done       chan struct{}
 
 	mu      sync.Mutex
 	lease   *leaser.Lease
@@ -170,6 +172,10 @@
 	var l encoder.Lease
 	if err == nil {
 		l, err = encoder.DecodeLease(value)
+		if err != nil && version != h.unreadable {
+			h.unreadable = version
+			h.log.Warn("lease cannot be decoded, nobody can take it until its object is deleted", "version", version, "error", err)
+		}
 	}
 	if err != nil {
 		h.log.Debug("failed to read lease", "error", err)
