Refuse calls at once that no upstream received, also if a connect was given up

A call whose connect was cancelled, as it took longer than an attempt may, counted as one that had been given up and waited for an upstream until its deadline, although no upstream had received it and its caller could be told so. TestCallThatWasNotSentDoesNotWait fails on the code before: the call ended after 1.5 s, its deadline.

--- a/relay/dispatcher/await.go
+++ b/relay/dispatcher/await.go
@@ -25,7 +25,7 @@
 // mayAwait reports whether a call may wait for another attempt: its upstream did not fail but was silent until
 // the attempt was given up, and the caller cannot be told that the call has not run.
 func (d *Dispatcher) mayAwait(j *job) bool {
-	if !j.gaveUp || j.relayed || j.fallback != nil {
+	if !j.gaveUp || j.runs == 0 || j.relayed || j.fallback != nil {
 		return false
 	}
 	end := sequoiasill.Millis(d.shutdownAt.Load())
--- a/relay/dispatcher/await_test.go
+++ b/relay/dispatcher/await_test.go
@@ -57,6 +57,21 @@
 	}
 }
 
+// A call that no upstream received is refused at once, also if a connect was given up.
+func TestCallThatWasNotSentDoesNotWait(t *testing.T) {
+	c := &fakeTransport{steps: []step{{hang: true, fail: true, verdict: sequoiasill.NotRun}, {fail: true, verdict: sequoiasill.NotRun}}}
+	d := newDispatcher(t, c, &fakePeers{usageCounts: make(map[string]int)})
+	var got reply
+	began := time.Now()
+	d.Serve(context.Background(), call("/read/x", "key"), &got)
+	if diff := cmp.Diff(503, got.Status); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the call ended after %s", took)
+	}
+}
+
 // Guards against LOST: a stream was cut as another entry no longer knew its key or route after a change of the
 // configuration.
 func TestStreamGoesOnAfterAnEntryWithANewerConfigurationRefusesIt(t *testing.T) {
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -84,6 +84,9 @@
 	c.mu.Unlock()
 	if s.hang {
 		<-ctx.Done()
+		if s.fail {
+			return nil, sendError{v: s.verdict}
+		}
 		return nil, sendError{v: sequoiasill.MayHaveRun}
 	}
 	if s.fail {
