Keep the attempts of a relayed call that upstreams of the other entry only rejected

What callers saw: once, 502 after 1.05 s, while all replicas of a service stood still for 1.64 s.

Cause: the other entry's upstream rejected the call as full when it went on, and that entry had no repeat left. Its failure told one arrival and no run of its own, but the first entry counted an arrival as a run.

The case "an upstream rejected it there" fails on the code before with 502.

Only the runs that are told decide now. An entry that tells none, as older ones do, is taken to have run the call.

--- a/relay/dispatcher/await_test.go
+++ b/relay/dispatcher/await_test.go
@@ -104,6 +104,10 @@
 	}{
 		"no upstream received it there": {relayStep{refusal: refusal(sequoiasill.MayHaveRun, sequoiasill.CodeUpstreamFailed, 502), runs: 1},
 			reply{Status: 200, Body: "good", Ended: true}},
+		"an upstream rejected it there": {relayStep{refusal: refusal(sequoiasill.MayHaveRun, sequoiasill.CodeUpstreamFailed, 502), runs: 1, arrivals: 1},
+			reply{Status: 200, Body: "good", Ended: true}},
+		"an older entry tells no runs": {relayStep{refusal: refusal(sequoiasill.MayHaveRun, sequoiasill.CodeUpstreamFailed, 502), arrivals: 1},
+			reply{Status: 502, Ended: true}},
 		"an upstream received it there": {relayStep{refusal: refusal(sequoiasill.MayHaveRun, sequoiasill.CodeUpstreamFailed, 502), runs: 2, arrivals: 1},
 			reply{Status: 502, Ended: true}},
 	} {
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -134,7 +134,8 @@
 // an upstream may go to another entry.
 func (t *try) handleRelayRefusal(ctx context.Context, refusal *RefusalError) (nextStep, string) {
 	f := refusal.Failure
-	ranThere := refusal.Arrivals > 0 || refusal.Runs > t.runs
+	// The runs there include those that were told with the call.
+	ranThere := t.runs == 0 || refusal.Runs != t.runs
 	if f.Verdict != sequoiasill.NotRun && ranThere {
 		t.arrivals += max(refusal.Arrivals, 1)
 		t.runs = max(t.runs+1, refusal.Runs)
