Test of quotas does not depend on the clock's tick

An organisation with one call a second and a burst of one spent its share with the first call; if the millisecond clock ticked before the second one, the share held a thousandth of a call, and a call may overdraw a share that is not empty. That is as documented, so the test was wrong.

The organisation of the tests now has a burst of half a call and 0.001 a second: the first call overdraws it, and no later call is admitted for 500 s unless it is refunded.

--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -244,7 +244,8 @@
 	Services: []sequoiasill.TrafficService{{Name: "plain"}},
 	Accounts: []sequoiasill.Account{
 		{Name: "small", Keys: []string{"key"}},
-		{Name: "spent", Keys: []string{"spent"}, RatePerSec: 1, Burst: 1},
+		// The first call overdraws the quota by half a call, which takes 500 s to refill.
+		{Name: "spent", Keys: []string{"spent"}, RatePerSec: 0.001, Burst: 0.5},
 	},
 }
 
