Soak: no network on which entries of an aborted run still listen

The aborted run had left its entries running on the addresses of its network. The next run found the network's reservation free, its own entries could not listen ("address already in use" in their logs), and its callers were served by the old ones, whose store was gone.

A network is now reserved only if nothing listens on the addresses of the run's entries. TestNetworkOfEntriesThatStillRunIsNotReserved failed before: the network in use was taken.

--- a/standin/soaker/entry_test.go
+++ b/standin/soaker/entry_test.go
@@ -1,6 +1,8 @@
 package soaker
 
 import (
+	"fmt"
+	"net"
 	"os/exec"
 	"testing"
 	"time"
@@ -27,3 +29,25 @@
 		t.Error("another process was started")
 	}
 }
+
+// Guards against calls to entries that an aborted run left behind.
+func TestNetworkOfEntriesThatStillRunIsNotReserved(t *testing.T) {
+	reserve := func() string {
+		h := &Harness{opts: Options{Seed: 7, Entries: 2}}
+		l, err := h.reserveNetwork()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		return h.entryIP(1)
+	}
+	left := reserve()
+	l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", left, frontendPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	if got := reserve(); got == left {
+		t.Errorf("reserved the network of %s, which is in use", got)
+	}
+}
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -140,19 +140,38 @@
 }
 
 // reserveNetwork reserves a loopback network that no other run uses, by listening on one of
-// its addresses.
+// its addresses. Entries that an aborted run left behind use their network too.
 func (h *Harness) reserveNetwork() (net.Listener, error) {
 	var err error
 	for i := range uint64(networkCount) {
 		h.secondOctet = 20 + (h.opts.Seed+i)%networkCount
 		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprintf("127.%d.1.250:%d", h.secondOctet, peerPort)); err == nil {
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.%d.1.250:%d", h.secondOctet, peerPort)); err != nil {
+			continue
+		}
+		if err = h.checkEntryAddresses(); err == nil {
 			return l, nil
 		}
+		// The listener is of no use.
+		_ = l.Close()
 	}
 	return nil, fmt.Errorf("other runs have all networks: %w", err)
 }
 
+// checkEntryAddresses returns an error if a process listens where an entry of this run will.
+func (h *Harness) checkEntryAddresses() error {
+	for n := range h.opts.Entries {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", h.entryIP(n), frontendPort))
+		if err != nil {
+			return err
+		}
+		if err := l.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (h *Harness) startEntries(storeAddress string) error {
 	for i := range h.opts.Entries {
 		p, err := newProxy("127.0.0.1:0", storeAddress, nil)
