Test of the soak's check of falls: few calls are too many for a brittle replica

The entries ignore that replicas are brittle, and the test wants more falls than the check allows, 2.6 of six replicas. A replica fell when more than 24 calls were in flight and it rejected seven in a second; at the rate of the callers that needs all of what they send in calm.

In this test a brittle replica now takes one call at a time once entries have had the time to notice, so that a third of the calls is enough. The bound on the falls and the checks of entries that heed the signal are as they were.

--- a/standin/soaker/brittle.go
+++ b/standin/soaker/brittle.go
@@ -27,16 +27,17 @@
 type brittleness struct {
 	mu         sync.Mutex
 	active     bool
+	slots      int64 // calls that it takes at a time once entries have had the time to notice
 	shrinksAt  sequoiasill.Millis
 	rejections []sequoiasill.Millis // in the last second
 	onFall     func()
 }
 
 // start makes the replica brittle.
-func (b *brittleness) start(onFall func()) {
+func (b *brittleness) start(slots int64, onFall func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.active, b.shrinksAt, b.rejections, b.onFall = true, nowMillis()+contactTime, nil, onFall
+	b.active, b.slots, b.shrinksAt, b.rejections, b.onFall = true, slots, nowMillis()+contactTime, nil, onFall
 }
 
 func (b *brittleness) stop() {
@@ -49,10 +50,13 @@
 func (b *brittleness) state() (active bool, maxCalls int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.active && nowMillis() < b.shrinksAt {
+	switch {
+	case !b.active:
+		return false, maxCallsInFlight
+	case nowMillis() < b.shrinksAt:
 		return true, maxCallsInFlight + waitingCalls
 	}
-	return b.active, maxCallsInFlight
+	return true, b.slots
 }
 
 // recordRejection records that a call was rejected for want of room.
@@ -78,11 +82,15 @@
 
 func (h *Harness) makeServiceBrittle(duration time.Duration) {
 	replicas := h.randomServiceReplicas()
+	slots := int64(maxCallsInFlight)
+	if h.opts.BrittleSlots > 0 {
+		slots = int64(h.opts.BrittleSlots)
+	}
 	var mu sync.Mutex
 	falls := 0
 	for _, r := range replicas {
 		r.extraLatencyMillis.Store(brittleLatencyMillis)
-		r.brittle.start(func() {
+		r.brittle.start(slots, func() {
 			mu.Lock()
 			falls++
 			mu.Unlock()
--- a/standin/soaker/soaker.go
+++ b/standin/soaker/soaker.go
@@ -40,6 +40,7 @@
 	OnlyFault     string          // name of the only fault to inject; empty for all
 	ExceptFaults  []string        // names of faults not to inject
 	RetryLimits   rationer.Limits // limits on retries, also written to the entries' settings
+	BrittleSlots  int             // calls that a brittle replica takes at a time; 0 for those of a sound one
 	OmittedSignal string          // signal that upstreams or the store omit from their responses, so that no entry respects it: OmitDraining, OmitPause, OmitRateLimit, OmitBrittleness, OmitEra or OmitDeadlyPart
 	Binary        string          // path of the entry's program
 	Production    string          // path of the older program that an upgrade replaces; empty for no upgrade
--- a/standin/soaker/soaker_test.go
+++ b/standin/soaker/soaker_test.go
@@ -162,7 +162,8 @@
 			violations, _, err := soaker.Run(soaker.Options{
 				Seed: 1, Duration: tc.duration, OnlyFault: tc.fault, OmittedSignal: tc.omitted, Binary: binary, Dir: t.TempDir(),
 				Entries: 2, Replicas: tc.load.replicas, Engines: tc.load.replicas, Callers: tc.load.callers, Rate: tc.load.rate,
-				RetryLimits: usualRetries,
+				// Few calls are too many for a brittle replica, so that they come from a slow machine too.
+				BrittleSlots: 1, RetryLimits: usualRetries,
 			})
 			if err != nil {
 				t.Fatal(err)
