--- a/standin/soaker/entry.go
+++ b/standin/soaker/entry.go
@@ -183,6 +183,7 @@
 	}
 	if mustExitCleanly && !e.stopping {
 		e.stopping, e.stopAt = true, time.Now()
+		e.harness.checker.recordStop(e.number, e.grace())
 	}
 	// An error means that the process has exited already.
 	_ = e.process.Signal(s)
--- a/standin/soaker/replica.go
+++ b/standin/soaker/replica.go
@@ -243,6 +243,7 @@
 	}
 	defer r.inFlight.Add(-1)
 	r.checker.recordExecution(id, r.id, req.Header.Get("Tenant"))
+	defer r.checker.recordFinish(id)
 	if strings.HasSuffix(req.URL.Path, "/"+crashPath) {
 		r.crash(req)
 		return
