sequoia-router: a stop answers the plain calls that are in progress at its end

Callers of the product's own interface saw, in a planned stop, plain calls that still ran when StopTimeout was over cut without an answer: calls at their upstream, with and without a key, calls that waited for a slot, and sends that waited for another send of their key. Cause: drain waited for them, and nothing told them that their time was over, so that the process ended under them.

Evidence, on the code as found (TestPlannedStopAnswersPlainCalls, real entries, StopTimeout of 2 s): "in progress", "in progress, with a key", "waits for a slot" and "waits for another send" got "no answer" where 502 outcomeUnknown or 503 leaving are wanted. "in time" passes on both.

200 ms before the end, Invoker.EndAt now ends the calls: the connections of plain calls are closed, so that a call that was sent fails as one that may have run (502), and one that has no connection yet as not run (503 with Retry-After). Waits for slots, repeats and placement end too.

What the entry itself ended counts against no upstream and no version. Control requests have a client of their own, as hand-overs of jobs outlive the calls (TestEndCalls, TestControlOutlivesEndCalls).

--- a/entry/balancer/ticket.go
+++ b/entry/balancer/ticket.go
@@ -19,6 +19,7 @@
 	// Accepted means that the system has already accepted the request from its caller
 	// and does not refuse it any more.
 	Accepted bool
+	End      <-chan struct{} // ends the wait when it is closed; may be nil
 }
 
 // Ticket is the slot of a request in a pool. It must be released with End.
@@ -59,11 +60,12 @@
 	case act := <-action:
 		return t.result(act)
 	case <-timer.C:
-		if s.withdraw(b.clock.Now(), a.Request.ID) {
-			return nil, overloaded(sequoiasill.Second)
-		}
-		return t.result(<-action)
+	case <-a.End:
+	}
+	if s.withdraw(b.clock.Now(), a.Request.ID) {
+		return nil, overloaded(sequoiasill.Second)
 	}
+	return t.result(<-action)
 }
 
 func (t *Ticket) result(a limiter.Action) (*Ticket, *sequoiasill.Failure) {
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -33,8 +33,10 @@
 type Forwarder struct {
 	opts      Options
 	stream    *fasthttp.Client
+	control   *fasthttp.Client
 	plain     *fasthttp.Client
 	singleUse *fasthttp.Client // closes each connection after one call
+	callConns *connSet         // of plain and singleUse
 }
 
 // maxIdleDuration is how long an idle connection to an upstream is kept open.
@@ -45,19 +47,20 @@
 
 // New returns a Forwarder.
 func New(opts Options) *Forwarder {
-	f := &Forwarder{opts: opts}
-	f.stream = f.newClient(f.dialWithReadTimeout, maxConnsPerUpstream)
-	f.plain = f.newClient(f.dial, maxConnsPerUpstream)
-	f.singleUse = f.newClient(f.dial, maxConnsPerUpstream)
+	f := &Forwarder{opts: opts, callConns: newConnSet()}
+	f.stream = f.newClient(f.dialWithReadTimeout)
+	f.control = f.newClient(f.dial)
+	f.plain = f.newClient(f.dialForCall)
+	f.singleUse = f.newClient(f.dialForCall)
 	return f
 }
 
-func (f *Forwarder) newClient(dial fasthttp.DialFunc, maxConns int) *fasthttp.Client {
+func (f *Forwarder) newClient(dial fasthttp.DialFunc) *fasthttp.Client {
 	return &fasthttp.Client{
 		Dial: dial,
 		// The header of a response with its body tells its length, whether it was sent or not.
 		StreamResponseBody:            true,
-		MaxConnsPerHost:               maxConns,
+		MaxConnsPerHost:               maxConnsPerUpstream,
 		MaxIdleConnDuration:           maxIdleDuration,
 		MaxIdemponentCallAttempts:     1,
 		NoDefaultUserAgentHeader:      true,
@@ -168,7 +171,9 @@
 }
 
 // Do sends a call and returns the complete response.
-func (f *Forwarder) Do(c Call) (Response, *AttemptError) {
+func (f *Forwarder) Do(c Call) (Response, *AttemptError) { return f.do(f.clientFor(c.SingleUse), c) }
+
+func (f *Forwarder) do(client *fasthttp.Client, c Call) (Response, *AttemptError) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	resp := fasthttp.AcquireResponse()
@@ -187,7 +192,7 @@
 		// in the meantime, which proves nothing.
 		req.SetConnectionClose()
 	}
-	if err := f.clientFor(c.SingleUse).DoTimeout(req, resp, c.Timeout.Duration()); err != nil {
+	if err := client.DoTimeout(req, resp, c.Timeout.Duration()); err != nil {
 		return Response{}, connectionError(err)
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
@@ -290,7 +295,7 @@
 // Control sends a short control request to an upstream, such as a cancellation or
 // a KV cache export, and returns its response. A status other than 200 is an error.
 func (f *Forwarder) Control(method, address, uri string, body []byte, timeout sequoiasill.Millis) (Response, error) {
-	response, attemptErr := f.Do(Call{Address: address, Method: method, URI: uri, Body: body, Timeout: timeout})
+	response, attemptErr := f.do(f.control, Call{Address: address, Method: method, URI: uri, Body: body, Timeout: timeout})
 	if attemptErr != nil {
 		return Response{}, attemptErr
 	}
--- a/entry/invoker/invoker.go
+++ b/entry/invoker/invoker.go
@@ -39,12 +39,13 @@
 	claimer   *claimer.Claimer
 	versions  generator.Versions
 	running   sync.WaitGroup
+	ended     chan struct{} // closed when the calls are ended
 }
 
 // New returns an Invoker.
 func New(clock sequoiasill.Clock, b *balancer.Balancer, f *forwarder.Forwarder, m *meter.Meter, budgets *budgeter.Budgeter, iso *isolator.Isolator, claims *claimer.Claimer, v generator.Versions, log hclog.Logger) *Invoker {
 	return &Invoker{
-		isolator: iso, claimer: claims, versions: v,
+		isolator: iso, claimer: claims, versions: v, ended: make(chan struct{}),
 		clock: clock, balancer: b, forwarder: f, meter: m, budgets: budgets, log: log.Named("invoker")}
 }
 
@@ -54,15 +55,23 @@
 func (i *Invoker) Run(call handlers.PlainCall) (forwarder.Response, *sequoiasill.Failure) {
 	i.running.Add(1)
 	defer i.running.Done()
+	if i.hasEnded() {
+		return forwarder.Response{}, leavingFailure(sequoiasill.NotRun, nil)
+	}
 	if call.Route.Idempotent || call.Key == "" {
 		return i.runAttempts(call)
 	}
+	return i.claimUntilEnd(call)
+}
+
+// runClaimed claims the call in the journal and runs it with run, unless it ran before.
+func (i *Invoker) runClaimed(call handlers.PlainCall, run runFunc) (forwarder.Response, *sequoiasill.Failure) {
 	claim := claimer.Claim{
 		Key:    journaler.HashKey(call.Request.Organisation, call.Request.Service+"\x00"+call.Key),
 		Digest: call.Request.Digest, Deadline: call.Request.Deadline,
 	}
 	outcome, failure := i.claimer.Run(claim, func() (journaler.Outcome, *sequoiasill.Failure) {
-		response, failure := i.runAttempts(call)
+		response, failure := run(call)
 		return journaler.Outcome{
 			Verdict: sequoiasill.Ran, Status: response.Status, ContentType: response.ContentType, Body: response.Body,
 		}, failure
@@ -79,8 +88,12 @@
 func (i *Invoker) runAttempts(call handlers.PlainCall) (forwarder.Response, *sequoiasill.Failure) {
 	ticket, failure := i.balancer.Admit(balancer.Admission{
 		Request: call.Request, Weight: call.Weight, ExpectedDuration: expectedServiceTime, Pool: call.Pool, Version: call.Version,
+		End: i.ended,
 	})
 	if failure != nil {
+		if i.hasEnded() {
+			failure = leavingFailure(sequoiasill.NotRun, failure)
+		}
 		return forwarder.Response{}, failure
 	}
 	defer ticket.End()
@@ -89,10 +102,13 @@
 	verdict := sequoiasill.NotRun // of all attempts so far
 	listed := func() []string { return i.balancer.Listed(call.Pool, call.Version) }
 	for attempt := 1; ; attempt++ {
-		placed, failure := i.isolator.Place(call.Request.Digest, verdict, listed, sleep)
+		placed, failure := i.isolator.Place(call.Request.Digest, verdict, listed, i.sleep)
 		if failure != nil {
 			return forwarder.Response{}, failure
 		}
+		if i.hasEnded() {
+			return forwarder.Response{}, leavingFailure(verdict, nil)
+		}
 		response, up, attemptErr := i.tryOnce(call, ticket, placed, avoid, attempt)
 		if attemptErr == nil {
 			return response, nil
@@ -100,6 +116,9 @@
 		if attemptErr.Verdict != sequoiasill.NotRun {
 			verdict = sequoiasill.MayHaveRun
 		}
+		if i.hasEnded() {
+			return forwarder.Response{}, leavingFailure(verdict, attemptErr)
+		}
 		planned := i.observe(up, attemptErr)
 		avoid[up] = true
 		action := i.budgets.Step(retrier.AttemptFailed{
@@ -113,15 +132,10 @@
 		i.meter.Retries.Add(1)
 		i.log.Info("retry", "request", call.Request.ID, "upstream", up, "cause", attemptErr.Error(),
 			"verdict", attemptErr.Verdict, "after", retry.After)
-		time.Sleep(retry.After.Duration())
+		i.sleep(retry.After)
 	}
 }
 
-func sleep(delay sequoiasill.Millis) bool {
-	time.Sleep(delay.Duration())
-	return true
-}
-
 func (i *Invoker) tryOnce(call handlers.PlainCall, ticket *balancer.Ticket, placed string, avoid map[string]bool, attempt int) (forwarder.Response, string, *forwarder.AttemptError) {
 	choice, ok := ticket.PickPreferred(placed, avoid)
 	if !ok {
@@ -144,11 +158,12 @@
 	if attemptErr == nil {
 		i.balancer.Observe(tracker.Answered{Upstream: up.Name, Micros: time.Since(startedAt).Microseconds()})
 	}
-	if attemptErr == nil || !attemptErr.DialFailed && !attemptErr.Refused() {
+	endedHere := attemptErr != nil && i.hasEnded()
+	if attemptErr == nil || !endedHere && !attemptErr.DialFailed && !attemptErr.Refused() {
 		failed := attemptErr != nil || response.Status >= 500
 		i.versions.Record(call.Request.Service, call.Route.Path, up.Version, failed, time.Since(startedAt).Microseconds())
 	}
-	if attemptErr == nil || !attemptErr.PossibleCrash() || i.forwarder.Reachable(up.Address) {
+	if attemptErr == nil || endedHere || !attemptErr.PossibleCrash() || i.forwarder.Reachable(up.Address) {
 		i.isolator.Step(quarantiner.Finished{Fingerprint: fp, Upstream: up.Name, Clean: attemptErr == nil})
 	} else {
 		i.isolator.Step(quarantiner.Crashed{Upstream: up.Name})
--- a/entry/server/shutdown.go
+++ b/entry/server/shutdown.go
@@ -37,6 +37,7 @@
 		s.deps.State.draining.Store(true)
 		s.updateReady()
 		s.deps.Messenger.Leave()
+		s.deps.Invoker.EndAt(stopAt - closeReserve - answerReserve)
 		s.drain(stopAt)
 		s.close(stopAt)
 		close(s.stopped)
@@ -60,12 +61,14 @@
 	s.deps.Invoker.Drain(stopAt - closeReserve - s.deps.Clock.Now())
 }
 
-// closeReserve is the time before stopAt that is reserved for closing connections.
-// finalReserve is the part of it for the steps after the callers' connections are
+// answerReserve is the time before closeReserve in which the calls that were ended are
+// answered, which takes some milliseconds on an idle machine. closeReserve is the time before stopAt that is reserved for closing
+// connections. finalReserve is the part of it for the steps after the callers' connections are
 // closed.
 const (
-	closeReserve = 150 * sequoiasill.Millis(1)
-	finalReserve = 25 * sequoiasill.Millis(1)
+	answerReserve = 50 * sequoiasill.Millis(1)
+	closeReserve  = 150 * sequoiasill.Millis(1)
+	finalReserve  = 25 * sequoiasill.Millis(1)
 )
 
 // handOverJobs offers each job to the entry that ranks first for its request and,
