sequoia-router: a stop passes on only plain calls that it expects to answer

Callers of the product's own interface saw plain calls that came, or became complete, late in a planned stop passed on to an upstream and then ended by the stop, among them calls that must not repeat, whose keys were lost for it. Cause: until shortly before the end nothing compared the time left with the time a call takes.

On arrival, and again before each attempt, the time until the calls are ended is compared with the latency that 19 of 20 recent calls to the route did not exceed, which the shifter knows, else with the service time that admission assumes. A call that does not fit is refused as not run, with Retry-After; one whose deadline comes first is passed on, as the stop takes nothing from it.

--- a/cmd/scenarios/plannedstop_test.go
+++ b/cmd/scenarios/plannedstop_test.go
@@ -66,7 +66,7 @@
 	return fmt.Sprint(resp.StatusCode, " ", body.Error.Code, " ", resp.Header.Get("Sequoia-Verdict"), " ", resp.Header.Get("Retry-After"))
 }
 
-// Guards against plain calls that a planned stop cuts without an answer.
+// Guards against plain calls that a planned stop takes too late, or cuts without an answer.
 func TestPlannedStopAnswersPlainCalls(t *testing.T) {
 	const stopTimeout = 2 * sequoiasill.Second
 	tests := map[string]struct {
@@ -80,11 +80,14 @@
 		runs      int
 		repeated  string // outcome of a repeat with the key at another entry
 	}{
-		"in time":                 {path: "/stock", whole: 200 * time.Millisecond, takes: time.Second, want: served, runs: 1},
-		"in progress":             {path: "/stock", before: true, takes: 8 * time.Second, want: mayHaveRun, runs: 1},
-		"in progress, with a key": {path: "/cut", key: "k", before: true, takes: 8 * time.Second, want: mayHaveRun, runs: 1, repeated: "409 outcomeUnknown mayHaveRun "},
-		"waits for a slot":        {path: "/stock", before: true, full: true, want: refusedLeaving},
-		"waits for another send":  {path: "/cut", key: "k", before: true, elsewhere: true, takes: 8 * time.Second, want: refusedLeaving},
+		"in time":                     {path: "/stock", whole: 200 * time.Millisecond, takes: time.Second, want: served, runs: 1},
+		"in progress":                 {path: "/stock", before: true, takes: 8 * time.Second, want: mayHaveRun, runs: 1},
+		"in progress, with a key":     {path: "/cut", key: "k", before: true, takes: 8 * time.Second, want: mayHaveRun, runs: 1, repeated: "409 outcomeUnknown mayHaveRun "},
+		"whole late":                  {path: "/stock", whole: 1200 * time.Millisecond, takes: time.Second, want: refusedLeaving},
+		"whole late, with a key":      {path: "/cut", key: "k", whole: 1200 * time.Millisecond, takes: time.Second, want: refusedLeaving, repeated: served},
+		"whole after the last moment": {path: "/stock", whole: 1850 * time.Millisecond, takes: time.Second, want: refusedLeaving},
+		"waits for a slot":            {path: "/stock", before: true, full: true, want: refusedLeaving},
+		"waits for another send":      {path: "/cut", key: "k", before: true, elsewhere: true, takes: 8 * time.Second, want: refusedLeaving},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/entry/invoker/invoker.go
+++ b/entry/invoker/invoker.go
@@ -3,6 +3,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -18,7 +19,6 @@
 	"sequoiasill.dev/sequoiasill/entry/claimer"
 	"sequoiasill.dev/sequoiasill/entry/drainer"
 	"sequoiasill.dev/sequoiasill/entry/forwarder"
-	"sequoiasill.dev/sequoiasill/entry/generator"
 	"sequoiasill.dev/sequoiasill/entry/handlers"
 	"sequoiasill.dev/sequoiasill/entry/isolator"
 	"sequoiasill.dev/sequoiasill/entry/meter"
@@ -37,13 +37,23 @@
 	budgets   *budgeter.Budgeter
 	isolator  *isolator.Isolator
 	claimer   *claimer.Claimer
-	versions  generator.Versions
+	versions  Versions
 	running   sync.WaitGroup
-	ended     chan struct{} // closed when the calls are ended
+	endAt     atomic.Int64  // Millis at which the calls are ended, 0 while unknown
+	ended     chan struct{} // closed at endAt
+}
+
+// Versions collects the results of calls by version.
+type Versions interface {
+	// Record records the result of a call to a version. The latency is in microseconds.
+	Record(service, route, version string, failed bool, micros int64)
+	// UsualLatency returns the latency that most recent calls to a route did not exceed,
+	// or false if there were none.
+	UsualLatency(service, route string) (sequoiasill.Millis, bool)
 }
 
 // New returns an Invoker.
-func New(clock sequoiasill.Clock, b *balancer.Balancer, f *forwarder.Forwarder, m *meter.Meter, budgets *budgeter.Budgeter, iso *isolator.Isolator, claims *claimer.Claimer, v generator.Versions, log hclog.Logger) *Invoker {
+func New(clock sequoiasill.Clock, b *balancer.Balancer, f *forwarder.Forwarder, m *meter.Meter, budgets *budgeter.Budgeter, iso *isolator.Isolator, claims *claimer.Claimer, v Versions, log hclog.Logger) *Invoker {
 	return &Invoker{
 		isolator: iso, claimer: claims, versions: v, ended: make(chan struct{}),
 		clock: clock, balancer: b, forwarder: f, meter: m, budgets: budgets, log: log.Named("invoker")}
@@ -55,7 +65,7 @@
 func (i *Invoker) Run(call handlers.PlainCall) (forwarder.Response, *sequoiasill.Failure) {
 	i.running.Add(1)
 	defer i.running.Done()
-	if i.hasEnded() {
+	if i.tooLate(call) {
 		return forwarder.Response{}, leavingFailure(sequoiasill.NotRun, nil)
 	}
 	if call.Route.Idempotent || call.Key == "" {
@@ -106,7 +116,7 @@
 		if failure != nil {
 			return forwarder.Response{}, failure
 		}
-		if i.hasEnded() {
+		if i.tooLate(call) {
 			return forwarder.Response{}, leavingFailure(verdict, nil)
 		}
 		response, up, attemptErr := i.tryOnce(call, ticket, placed, avoid, attempt)
--- a/entry/invoker/shutdown.go
+++ b/entry/invoker/shutdown.go
@@ -10,8 +10,10 @@
 )
 
 // EndAt sets the time at which the calls that still run are ended, as the entry shuts
-// down. Later ones are refused. It must be called at most once.
+// down. Calls that are not expected to finish by then are refused. It must be called at
+// most once.
 func (i *Invoker) EndAt(at sequoiasill.Millis) {
+	i.endAt.Store(int64(at))
 	time.AfterFunc((at - i.clock.Now()).Duration(), func() {
 		close(i.ended)
 		i.forwarder.EndCalls()
@@ -27,6 +29,23 @@
 	}
 }
 
+// tooLate reports whether an attempt of the call is not expected to finish before the
+// calls are ended. A call whose deadline comes first loses nothing by the shutdown.
+func (i *Invoker) tooLate(call handlers.PlainCall) bool {
+	endAt := sequoiasill.Millis(i.endAt.Load())
+	if endAt == 0 {
+		return false
+	}
+	if i.hasEnded() {
+		return true
+	}
+	expected, ok := i.versions.UsualLatency(call.Request.Service, call.Route.Path)
+	if !ok {
+		expected = expectedServiceTime
+	}
+	return call.Request.Deadline > endAt && i.clock.Now()+expected > endAt
+}
+
 // sleep returns false, at once, when the calls are ended.
 func (i *Invoker) sleep(delay sequoiasill.Millis) bool {
 	timer := time.NewTimer(delay.Duration())
--- a/entry/server/wiring.go
+++ b/entry/server/wiring.go
@@ -111,6 +111,7 @@
 		},
 		newVersions,
 		func(v *versions) generator.Versions { return v },
+		func(v *versions) invoker.Versions { return v },
 		func(s *spreader.Spreader, store *storer.Store, sh *shifter.Shifter) *spreader.Statuses {
 			return spreader.NewStatuses(s, store, func(key string, version uint64, value []byte) {
 				sh.HandleFact(gossiper.Fact{Key: key, Version: version, Value: value})
--- a/entry/shifter/latencies.go
+++ b/entry/shifter/latencies.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sequoiasill.dev/sequoiasill"
 )
 
 // Latencies are recorded in a sliding window, so that a request is compared with the
@@ -11,6 +13,7 @@
 	latencyWindows     = 6
 	refreshesPerWindow = 10
 	maxMicros          = 600_000_000
+	microsPerMilli     = 1000
 	significantDigits  = 1 // decimal; low, as a service may have hundreds of routes, each with histograms
 	slowPercentile     = 95
 	minLatencies       = 20 // in the window, for a route to get or update its threshold
@@ -45,6 +48,17 @@
 	return threshold > 0 && micros > threshold
 }
 
+// usual returns the latency above which a request to the route would be slow, from
+// however few requests there are in the window, or false without any.
+func (l *latencies) usual(route string) (sequoiasill.Millis, bool) {
+	h, ok := l.routes[route]
+	if !ok {
+		return 0, false
+	}
+	merged := h.Merge()
+	return sequoiasill.Millis(merged.ValueAtQuantile(slowPercentile) / microsPerMilli), merged.TotalCount() > 0
+}
+
 // refresh updates the thresholds and removes routes without requests in any window.
 func (l *latencies) refresh() {
 	l.refreshes++
--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -159,6 +159,18 @@
 	}
 }
 
+// UsualLatency returns the latency that most recent requests to a route did not exceed.
+// It is false if there were none.
+func (s *Shifter) UsualLatency(service, route string) (sequoiasill.Millis, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	serviceLatencies, ok := s.latencies[service]
+	if !ok {
+		return 0, false
+	}
+	return serviceLatencies.usual(route)
+}
+
 // Evaluate checks this entry's own evidence for regressions and publishes it. It
 // should be called at least every second.
 func (s *Shifter) Evaluate() {
