The claimer's drain waits for requests that still run

A stop that drains the claimer while a call with a key still unwinds does not wait for the outcome of that call, so that the process may end before it is journalled. Cause: Drain counted conclusions only, not the requests that will make one; the first conclusion thus also raced with the wait.

Evidence: in one of three sets of the tests of stops and keys (-race, GOMAXPROCS=2), the row "waits for a slot" of TestPlannedStopAnswersPlainCalls had a data race reported between Claimer.Drain's wait and a call's goroutine; not seen again in 8 further plays of four rows without this change, nor in 2 plays of all rows with it. TestDrainWaitsForRunningRequests fails on the code as found: drained at once while a request runs.

Run now counts as pending until it returns, by when its conclusion counts.

--- a/entry/claimer/claimer.go
+++ b/entry/claimer/claimer.go
@@ -61,7 +61,7 @@
 	peers   Peers
 	clock   sequoiasill.Clock
 	log     hclog.Logger
-	pending sync.WaitGroup // conclusions that are not journalled yet
+	pending sync.WaitGroup // running requests, and conclusions that are not journalled yet
 	shards  [shardCount]shard
 }
 
@@ -94,8 +94,8 @@
 	return c
 }
 
-// Drain waits until all conclusions are journalled or the timeout expires. It reports
-// whether they are.
+// Drain waits until no request runs and all conclusions are journalled, or the timeout
+// expires. It reports whether they are.
 func (c *Claimer) Drain(timeout sequoiasill.Millis) bool { return drainer.Wait(&c.pending, timeout) }
 
 // Claim is a request that must run at most once.
@@ -108,6 +108,8 @@
 // Run runs the request unless a request with its key ran before. It calls run at most
 // once. If run returns a Failure with verdict NotRun, the key can be used again.
 func (c *Claimer) Run(claim Claim, run func() (journaler.Outcome, *sequoiasill.Failure)) (journaler.Outcome, *sequoiasill.Failure) {
+	c.pending.Add(1)
+	defer c.pending.Done()
 	for {
 		a, created := c.getOrCreate(claim)
 		if created {
