--- a/review/standins/entries.go
+++ b/review/standins/entries.go
@@ -16,6 +16,9 @@
 	"time"
 )
 
+// grace is the time from SIGTERM until the platform kills a process (graceS).
+const grace = 8 * time.Second
+
 // Ports of an entry. Each entry has a loopback address of its own.
 const (
 	portFrontend  = "8360"
@@ -220,6 +223,25 @@
 	e.record.add("entry killed", "entry", e.name)
 }
 
+// terminate sends SIGTERM and waits until the process has ended, at most for the grace period.
+func (e *entry) terminate() {
+	e.mu.Lock()
+	cmd := e.cmd
+	e.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	e.record.add("SIGTERM", "entry", e.name)
+	timer := time.AfterFunc(grace, func() { _ = cmd.Process.Kill() })
+	defer timer.Stop()
+	_ = cmd.Wait()
+	e.mu.Lock()
+	e.cmd, e.up = nil, false
+	e.mu.Unlock()
+	e.record.add("entry ended", "entry", e.name)
+}
+
 // isUp reports whether the platform forwards new channels to the entry.
 func (e *entry) isUp() bool {
 	e.mu.Lock()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -26,6 +26,7 @@
 	"slow-poison":    slowPoison,
 	"poison-stream":  poisonStream,
 	"restored-store": restoredStore,
+	"silent-stop":    silentStop,
 }
 
 func main() {
--- a/review/standins/replica.go
+++ b/review/standins/replica.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -46,7 +47,10 @@
 
 // behaviour is how a replica serves requests.
 type behaviour struct {
-	work     time.Duration // median per request
+	work     time.Duration // median per request, or between the events of a stream
+	first    time.Duration // until the first event of a stream
+	silence  *silence      // nil for none
+	slots    int           // 0 for the default
 	spread   float64       // of the work: the standard deviation of its logarithm
 	badShare float64       // of the requests that get a 500
 	badPath  string        // of these requests, empty for all
@@ -61,6 +65,32 @@
 	return time.Duration(float64(b.work) * math.Exp(b.spread*rand.NormFloat64()))
 }
 
+// silence keeps replicas from answering for a moment, as if their processes stood still. New connections
+// are accepted by the kernel.
+type silence struct {
+	mu    sync.Mutex
+	until time.Time
+}
+
+func (s *silence) begin(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until = time.Now().Add(d)
+}
+
+// wait returns once there is no silence.
+func (s *silence) wait() {
+	for s != nil {
+		s.mu.Lock()
+		left := time.Until(s.until)
+		s.mu.Unlock()
+		if left <= 0 {
+			return
+		}
+		time.Sleep(left)
+	}
+}
+
 // replica is a stand-in of a replica.
 type replica struct {
 	id, service, zone, version string
@@ -83,7 +113,8 @@
 	stopped  bool
 }
 
-const replicaSlots = 6
+// defaultSlots is the number of requests that a replica serves at a time.
+const defaultSlots = 6
 
 // startReplica starts a replica on a free loopback port, which registers itself.
 func startReplica(p *platform, rs *runs, rec *record, sentAt func(string) time.Time, service, zone, version string, b behaviour) (*replica, error) {
@@ -93,7 +124,7 @@
 	}
 	r := &replica{
 		id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zone, version: version, address: l.Addr().String(), born: time.Now().UnixMilli(),
-		behaviour: b, platform: p, runs: rs, record: rec, sentAt: sentAt, slots: make(chan struct{}, replicaSlots), state: "ready", stop: make(chan struct{}),
+		behaviour: b, platform: p, runs: rs, record: rec, sentAt: sentAt, slots: make(chan struct{}, cmp.Or(b.slots, defaultSlots)), state: "ready", stop: make(chan struct{}),
 	}
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), IdleTimeout: 10 * time.Second}
 	go func() { _ = r.server.Serve(l) }()
@@ -120,7 +151,7 @@
 		return
 	}
 	r.platform.put("servers", r.id, map[string]any{
-		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": replicaSlots, "state": r.state,
+		"service": r.service, "address": r.address, "zone": r.zone, "version": r.version, "slots": cap(r.slots), "state": r.state,
 		"coldRemainingMs": 0, "sequence": 1, "born": r.born,
 	})
 }
@@ -152,6 +183,7 @@
 }
 
 func (r *replica) serve(w http.ResponseWriter, req *http.Request) {
+	r.behaviour.silence.wait()
 	h := w.Header()
 	id := req.Header.Get("Request-Id")
 	h.Set("Keep-Alive", "timeout=10")
@@ -195,13 +227,13 @@
 	x.crashed = r.behaviour.poison != "" && req.URL.Path == r.behaviour.poison
 	r.runs.add(x)
 	r.record.add("run", "request", id, "replica", r.id, "version", r.version, "path", req.URL.Path, "bytes", len(body), "bad", x.bad, "crash", x.crashed)
-	h.Set("Load-Report", fmt.Sprintf("%d,0,%d", r.active.Load(), replicaSlots))
+	h.Set("Load-Report", fmt.Sprintf("%d,0,%d", r.active.Load(), cap(r.slots)))
 	if x.crashed && (r.behaviour.events == 0 || r.behaviour.eventsBeforeCrash == 0) {
 		r.crash()
 		panic(http.ErrAbortHandler)
 	}
 	if r.behaviour.events > 0 {
-		r.stream(ctx, w, id, x.crashed)
+		r.stream(ctx, w, id, req.Header.Get("Last-Event-Id"), x.crashed)
 		return
 	}
 	select {
@@ -219,19 +251,25 @@
 }
 
 // stream sends an event stream, and crashes the replica in the middle of it if poisoned.
-func (r *replica) stream(ctx context.Context, w http.ResponseWriter, id string, poisoned bool) {
+func (r *replica) stream(ctx context.Context, w http.ResponseWriter, id, lastEvent string, poisoned bool) {
 	w.Header().Set("Signature", "stand-in."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range r.behaviour.events {
+	last, _ := strconv.Atoi(lastEvent)
+	for i := last; i < r.behaviour.events; i++ {
 		if poisoned && i == r.behaviour.eventsBeforeCrash {
 			r.crash()
 			panic(http.ErrAbortHandler)
 		}
+		pause := r.behaviour.work
+		if i == last {
+			pause = max(r.behaviour.first, pause)
+		}
 		select {
-		case <-time.After(r.behaviour.work):
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return
 		}
+		r.behaviour.silence.wait()
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", i+1, i+1, id)
 		_ = http.NewResponseController(w).Flush()
 	}
--- a/review/standins/requester.go
+++ b/review/standins/requester.go
@@ -20,6 +20,7 @@
 	whole  bool
 	err    error
 	took   time.Duration
+	began  time.Time
 }
 
 // requesters send requests to the entries that are ready.
@@ -73,7 +74,11 @@
 // send sends a request with a body to the path and reads the answer. Each has an ID of its own, and
 // nothing is sent twice.
 func (q *requesters) send(path, key, body string, deadline time.Duration) answer {
-	e := q.pick()
+	return q.sendTo(q.pick(), path, key, body, deadline)
+}
+
+// sendTo sends a request to an entry, if it is not nil.
+func (q *requesters) sendTo(e *entry, path, key, body string, deadline time.Duration) answer {
 	id := fmt.Sprintf("%016x", rand.Uint64())
 	if e == nil {
 		q.record.add("no entry is ready", "request", id, "path", path)
@@ -85,7 +90,7 @@
 	q.mu.Unlock()
 	q.record.add("sent", "request", id, "path", path, "entry", e.name)
 	a := q.exchange(e, id, path, key, body, deadline)
-	a.took = time.Since(began)
+	a.took, a.began = time.Since(began), began
 	q.record.add("answered", "request", id, "path", path, "status", a.status, "whole", a.whole, "took", a.took.Round(time.Millisecond), "error", a.err)
 	q.mu.Lock()
 	defer q.mu.Unlock()
