Controller: the log tells the evidence at each change of a move

The log told no counts, so it could not tell evidence that never arrives from evidence that is not enough for the detector. It now has the requests, errors and slow requests of both versions.

--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -229,7 +229,10 @@
 	version, err := c.store.Put(encoder.StatusPrefix+s.Move, value, r.version)
 	if err == nil {
 		r.version, r.status = version, s
-		c.log.Info("move", "name", s.Move, "share", s.Share, "end", s.End, "reason", s.Reason, "epoch", s.Epoch)
+		total := r.mover.Total()
+		c.log.Info("move", "name", s.Move, "share", s.Share, "end", s.End, "reason", s.Reason, "epoch", s.Epoch,
+			"oldRequests", total.Old.Requests, "oldErrors", total.Old.Errors, "oldSlow", total.Old.Slow,
+			"newRequests", total.New.Requests, "newErrors", total.New.Errors, "newSlow", total.New.Slow)
 		return
 	}
 	if errors.Is(err, storer.ErrRefused) {
--- a/decide/mover/mover.go
+++ b/decide/mover/mover.go
@@ -95,7 +95,7 @@
 	move      sequoiasill.Move
 	share     int
 	detectors map[string]*detector.Detector
-	requests  int
+	total     Sample // since New
 	end       *Finish
 }
 
@@ -107,6 +107,9 @@
 // Share returns the share that was last requested.
 func (m *Mover) Share() int { return m.share }
 
+// Total returns the request counts of both versions since New.
+func (m *Mover) Total() Sample { return m.total }
+
 // Step processes one event and returns the resulting action, or nil.
 func (m *Mover) Step(now sequoiasill.Millis, ev Event) Action {
 	switch ev := ev.(type) {
@@ -144,7 +147,7 @@
 		all = Sample{Old: all.Old.Add(s.Old), New: all.New.Add(s.New)}
 		m.observeRoute(route, s)
 	}
-	m.requests += all.New.Requests
+	m.total = Sample{Old: m.total.Old.Add(all.Old), New: m.total.New.Add(all.New)}
 	m.observeRoute(allRoutes, all)
 }
 
@@ -185,8 +188,8 @@
 	if m.elapsed(now) < m.opts.EndAt {
 		return
 	}
-	if m.requests < m.opts.MinRequests {
-		m.setEnd(sequoiasill.MoveRolledBack, fmt.Sprintf("not enough evidence: %d requests to the new version, %d are needed", m.requests, m.opts.MinRequests))
+	if n := m.total.New.Requests; n < m.opts.MinRequests {
+		m.setEnd(sequoiasill.MoveRolledBack, fmt.Sprintf("not enough evidence: %d requests to the new version, %d are needed", n, m.opts.MinRequests))
 		return
 	}
 	for _, route := range slices.Sorted(maps.Keys(m.detectors)) {
