Detector: failures of a new version count at any share of the traffic

Cause: both versions were compared within each interval only, where a failure tells as much as it is unlikely to be the new version's by its share alone, next to nothing at 950 in 1,000, and intervals without a request to the old version were dropped.

Change: failures are also compared with the old version's rate over the last seconds; a suspicion keeps a move from its final stages and from completion; a service with few requests needs a twentieth of them as evidence.

Tried and reverted (simulation): more early requests for small services from the slack of the rule.

--- a/decide/detector/detector.go
+++ b/decide/detector/detector.go
@@ -4,6 +4,10 @@
 // Biometrika 1954), so a regression that starts late is detected as fast as an immediate
 // one.
 //
+// Errors are also compared with the old version's rate over a longer time. At equal times a
+// failure says little once the new version gets most of the requests, and a small service
+// then has intervals without any request to the old version.
+//
 // A Detector is a state machine without I/O.
 package detector
 
@@ -41,6 +45,18 @@
 	MuchSlowerRatio     float64
 	MuchSlowerStep      float64
 	MuchSlowerThreshold float64
+	// ExcessThreshold is the sum of log-likelihood ratios at which errors beyond the old
+	// version's rate over a longer time are reported, and SuspicionThreshold the sum at which
+	// they are suspected. ExcessRatio and ExcessStep are the multiple of that rate, and the
+	// minimum increase, that count as a regression.
+	ExcessThreshold    float64
+	SuspicionThreshold float64
+	ExcessRatio        float64
+	ExcessStep         float64
+	// SuspicionDeviations and SuspicionStep are the standard deviations by which the new version's
+	// errors exceed what is expected, and the share of its requests, that are suspect as well.
+	SuspicionDeviations float64
+	SuspicionStep       float64
 }
 
 // DefaultOptions returns the options that moves use.
@@ -48,6 +64,8 @@
 	return Options{
 		Threshold: 14, ErrorRatio: 3, ErrorStep: 0.004, SlowRatio: 2, SlowStep: 0.02,
 		MuchSlowerRatio: 6, MuchSlowerStep: 0.15, MuchSlowerThreshold: 10,
+		ExcessThreshold: 10, SuspicionThreshold: 3, ExcessRatio: 3, ExcessStep: 0.08,
+		SuspicionDeviations: 2, SuspicionStep: 0.03,
 	}
 }
 
@@ -67,6 +85,8 @@
 	errors      series
 	slow        series
 	muchSlower  series
+	excess      excess
+	surplus     surplus
 	newRequests int
 }
 
@@ -77,6 +97,7 @@
 		errors:     series{ratio: opts.ErrorRatio, step: opts.ErrorStep, threshold: opts.Threshold},
 		slow:       series{ratio: opts.SlowRatio, step: opts.SlowStep, threshold: opts.Threshold},
 		muchSlower: series{ratio: opts.MuchSlowerRatio, step: opts.MuchSlowerStep, threshold: opts.MuchSlowerThreshold},
+		excess:     excess{ratio: opts.ExcessRatio, step: opts.ExcessStep, threshold: opts.ExcessThreshold},
 	}
 }
 
@@ -85,10 +106,12 @@
 func (d *Detector) Observe(old, next Counts) Regression {
 	d.newRequests += next.Requests
 	errs := d.errors.observe(old.Requests, old.Errors, next.Requests, next.Errors)
+	excess := d.excess.observe(old, next)
+	d.surplus.observe(old, next)
 	slow := d.slow.observe(old.Requests-old.Errors, old.Slow, next.Requests-next.Errors, next.Slow)
 	much := d.muchSlower.observe(old.Requests-old.Errors, old.Slow, next.Requests-next.Errors, next.Slow)
 	switch {
-	case errs:
+	case errs || excess:
 		return Errors
 	case slow || much:
 		return Slow
@@ -99,6 +122,12 @@
 // NewRequests returns the number of requests to the new version so far.
 func (d *Detector) NewRequests() int { return d.newRequests }
 
+// IsSuspected reports whether the new version may fail more often, though too little is known
+// to report it.
+func (d *Detector) IsSuspected() bool {
+	return d.excess.sum >= d.opts.SuspicionThreshold || d.surplus.isSignificant(d.opts.SuspicionDeviations, d.opts.SuspicionStep)
+}
+
 // series tests whether hits are more frequent with the new version. If the rates are
 // equal, the new version's expected fraction of the hits in an interval equals its
 // fraction of the requests, whatever the rate is. Noise that affects both versions
@@ -127,3 +156,73 @@
 	}
 	return s.sum >= s.threshold && s.newHits/s.newTrials-s.oldHits/s.oldTrials >= s.step
 }
+
+const (
+	// referenceDecay and recentDecay are the fractions of the earlier requests to the old
+	// version that remain in each interval.
+	referenceDecay = 0.98
+	recentDecay    = 0.8
+	// Without requests to the old version, one in priorTrials is assumed to fail.
+	priorTrials = 20
+	priorHits   = 1
+	// Recent failures of the old version count as a fraction of its recent requests and of
+	// recentTrials more.
+	recentTrials = 3
+	// maxWorseRate limits the rate that counts as a regression.
+	maxWorseRate = 0.95
+	// minExcessIntervals is the number of intervals in which failures must occur. The crash of
+	// one upstream fails many requests at once.
+	minExcessIntervals = 5
+)
+
+// excess tests whether the new version fails more often than the old version did over the last
+// seconds. It needs no requests to the old version in the same interval, and a failure tells as
+// much at any share of the traffic. If the old version fails more often of late, too, its recent
+// rate counts.
+type excess struct {
+	ratio, step, threshold float64
+
+	sum             float64
+	oldTrials       float64 // decayed
+	oldHits         float64
+	recentOldTrials float64 // decayed faster
+	recentOldHits   float64
+}
+
+// observe adds the counts of an interval and reports whether the new version is worse.
+func (s *excess) observe(old, next Counts) bool {
+	s.oldTrials = s.oldTrials*referenceDecay + float64(old.Requests)
+	s.oldHits = s.oldHits*referenceDecay + float64(old.Errors)
+	s.recentOldTrials = s.recentOldTrials*recentDecay + float64(old.Requests)
+	s.recentOldHits = s.recentOldHits*recentDecay + float64(old.Errors)
+	reference := max((s.oldHits+priorHits)/(s.oldTrials+priorTrials), s.recentOldHits/(s.recentOldTrials+recentTrials))
+	worse := min(max(s.ratio*reference, reference+s.step), maxWorseRate)
+	if worse <= reference {
+		return false
+	}
+	good := float64(next.Requests - next.Errors)
+	gain := float64(next.Errors)*math.Log(worse/reference) + good*math.Log((1-worse)/(1-reference))
+	s.sum = max(s.sum+min(gain, s.threshold/minExcessIntervals), 0)
+	return s.sum >= s.threshold
+}
+
+// surplus compares the errors of the new version with those expected if both versions failed equally
+// often since the start. It forgets nothing, so it finds rare errors that a sum with resets loses again.
+type surplus struct{ old, next Counts }
+
+func (s *surplus) observe(old, next Counts) { s.old, s.next = s.old.Add(old), s.next.Add(next) }
+
+// continuity corrects the normal approximation of a discrete distribution.
+const continuity = 0.5
+
+// isSignificant reports whether the errors beyond those expected are a number of standard deviations,
+// and a fraction of the requests.
+func (s *surplus) isSignificant(deviations, fraction float64) bool {
+	if s.old.Requests <= 0 || s.next.Requests <= 0 {
+		return false
+	}
+	share := float64(s.next.Requests) / float64(s.old.Requests+s.next.Requests)
+	errs := float64(s.old.Errors + s.next.Errors)
+	excess := float64(s.next.Errors) - errs*share
+	return excess-continuity >= deviations*math.Sqrt(errs*share*(1-share)) && excess >= fraction*float64(s.next.Requests)
+}
--- a/decide/mover/mover.go
+++ b/decide/mover/mover.go
@@ -23,27 +23,33 @@
 	// traffic for a comparison.
 	Stages []Stage
 	// EndAt is the fraction of the time up to the deadline, in thousandths, after which a
-	// healthy move is completed.
-	EndAt int
+	// healthy move is completed. If errors are suspected then, the move is completed once they are
+	// not any more, or rolled back after the fraction DecideAt.
+	EndAt    int
+	DecideAt int
 	// MinRequests is the number of requests to the new version, and MinPerRoute the number
-	// on each route with traffic, below which a move is rolled back for lack of evidence.
+	// on each route with traffic, below which a move is rolled back for lack of evidence. A
+	// service with few requests needs only the fraction MinShare of them, in thousandths, if
+	// that is less than MinRequests; 0 means MinRequests.
 	MinRequests int
 	MinPerRoute int
+	MinShare    int
 }
 
 // Stage is a share of traffic and the fraction of the time up to the deadline at which
-// it begins, both in thousandths.
+// it begins, both in thousandths. A final stage is left out while errors are suspected.
 type Stage struct {
 	From  int
 	Share int
+	Final bool
 }
 
 // DefaultOptions returns the options that controllers use.
 func DefaultOptions() Options {
 	return Options{
 		Detector: detector.DefaultOptions(),
-		Stages:   []Stage{{0, 0}, {20, 50}, {550, 150}, {660, 400}, {760, 950}},
-		EndAt:    870, MinRequests: 500, MinPerRoute: 20,
+		Stages:   []Stage{{From: 0}, {From: 20, Share: 50}, {From: 550, Share: 150}, {From: 660, Share: 400}, {From: 760, Share: 950, Final: true}},
+		EndAt:    870, DecideAt: 970, MinRequests: 500, MinPerRoute: 20,
 	}
 }
 
@@ -96,12 +102,13 @@
 	share     int
 	detectors map[string]*detector.Detector
 	total     Sample // since New
+	early     int    // share without that of the final stages
 	end       *Finish
 }
 
 // New returns the Mover of a move with the stored share.
 func New(m sequoiasill.Move, share int, opts Options) *Mover {
-	return &Mover{opts: opts, move: m, share: share, detectors: make(map[string]*detector.Detector)}
+	return &Mover{opts: opts, move: m, share: share, early: opts.earlyShare(share), detectors: make(map[string]*detector.Detector)}
 }
 
 // Share returns the share that was last requested.
@@ -171,16 +178,45 @@
 	return int((now - m.move.Start) * 1000 / (m.move.Deadline - m.move.Start))
 }
 
-// targetShare returns the share of the current stage. A share never falls except by a
-// rollback.
+// targetShare returns the share of the current stage. The shares before the final stages never
+// fall. If the new version is suspected to fail when the final stages are due, it keeps its share.
 func (m *Mover) targetShare(now sequoiasill.Millis) int {
-	share := m.share
+	early, final := 0, 0
 	for _, s := range m.opts.Stages {
-		if m.elapsed(now) >= s.From {
-			share = max(share, s.Share)
+		switch {
+		case m.elapsed(now) < s.From:
+		case s.Final:
+			final = s.Share
+		default:
+			early = s.Share
 		}
 	}
-	return share
+	m.early = max(m.early, early)
+	if final == 0 || m.suspectedRoute() != "" {
+		return m.early
+	}
+	return max(m.early, final)
+}
+
+// earlyShare returns a share, or that of the last stage before the final ones if it is lower.
+func (o Options) earlyShare(share int) int {
+	highest := 0
+	for _, s := range o.Stages {
+		if !s.Final {
+			highest = max(highest, s.Share)
+		}
+	}
+	return min(share, highest)
+}
+
+// suspectedRoute returns a route on which the new version may fail more often, or "".
+func (m *Mover) suspectedRoute() string {
+	for _, route := range slices.Sorted(maps.Keys(m.detectors)) {
+		if m.detectors[route].IsSuspected() {
+			return route
+		}
+	}
+	return ""
 }
 
 // endIfDue ends the move once EndAt is reached.
@@ -188,8 +224,15 @@
 	if m.elapsed(now) < m.opts.EndAt {
 		return
 	}
-	if n := m.total.New.Requests; n < m.opts.MinRequests {
-		m.setEnd(sequoiasill.MoveRolledBack, fmt.Sprintf("not enough evidence: %d requests to the new version, %d are needed", n, m.opts.MinRequests))
+	if route := m.suspectedRoute(); route != "" {
+		if m.elapsed(now) < m.opts.DecideAt {
+			return
+		}
+		m.setEnd(sequoiasill.MoveRolledBack, "errors of the new version are suspected on "+route)
+		return
+	}
+	if needed := m.requestsNeeded(); m.total.New.Requests < needed {
+		m.setEnd(sequoiasill.MoveRolledBack, fmt.Sprintf("not enough evidence: %d requests to the new version, %d are needed", m.total.New.Requests, needed))
 		return
 	}
 	for _, route := range slices.Sorted(maps.Keys(m.detectors)) {
@@ -200,3 +243,13 @@
 	}
 	m.setEnd(sequoiasill.MoveDone, "no badness seen")
 }
+
+// requestsNeeded returns the number of requests to the new version below which a move is rolled
+// back.
+func (m *Mover) requestsNeeded() int {
+	if m.opts.MinShare == 0 {
+		return m.opts.MinRequests
+	}
+	all := m.total.Old.Requests + m.total.New.Requests
+	return min(m.opts.MinRequests, max(all*m.opts.MinShare/1000, 1))
+}
--- /dev/null
+++ b/relay/roller/exposure_test.go
@@ -0,0 +1,186 @@
+package roller
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/detector"
+	"sequoiasill.dev/sequoiasill/decide/mover"
+)
+
+// Limits of what a bad version may get, as the settings of the deployments have them.
+const (
+	exposureShare = 0.1
+	exposureSlack = 50
+	rollbackTime  = 5 * sequoiasill.Second
+	// badResponses is the number of bad responses from which rollbackTime counts.
+	badResponses = 50
+)
+
+// simulation is a move of a service under a steady load.
+type simulation struct {
+	rates    map[string]float64 // requests in a second, by route
+	failures map[string]float64 // share of the new version's responses, by route
+	others   float64            // share of all other responses that are failures
+	duration sequoiasill.Millis
+
+	rand     *rand.Rand
+	share    int
+	requests int // up to the deadline
+	exposed  int // of these to the new version
+	bad      int
+	lateFrom sequoiasill.Millis // from which the new version may get no requests, 0 if it may
+	late     int
+}
+
+// run simulates the move, with evidence that is an interval old, and returns its outcome.
+func (s *simulation) run(seed uint64) sequoiasill.MoveEnd {
+	const step = 10 * sequoiasill.Millis(1)
+	s.rand = rand.New(rand.NewPCG(seed, 54))
+	m := mover.New(order{Rollout: sequoiasill.Rollout{Service: "s", Target: "v2", Duration: s.duration}}.move(), 0, DefaultOptions())
+	var end sequoiasill.MoveEnd
+	current, previous := map[string]mover.Sample{}, map[string]mover.Sample{}
+	for now := sequoiasill.Millis(0); now < s.duration+2*rollbackTime; now += step {
+		for _, route := range slices.Sorted(maps.Keys(s.rates)) {
+			if s.rand.Float64() < s.rates[route]*float64(step)/float64(sequoiasill.Second) {
+				current[route] = s.request(now, route, current[route])
+			}
+		}
+		if now%sequoiasill.MillisOf(evaluateInterval) != 0 {
+			continue
+		}
+		switch a := m.Step(now, mover.Evidence{Routes: previous}).(type) {
+		case mover.SetShare:
+			s.share = a.Share
+		case mover.Finish:
+			end, s.share = a.End, 0
+			if end == sequoiasill.MoveDone {
+				s.share = 1000
+			}
+		}
+		previous, current = current, map[string]mover.Sample{}
+	}
+	return end
+}
+
+// request sends a request to one of the versions and adds its outcome to the sample.
+func (s *simulation) request(now sequoiasill.Millis, route string, sample mover.Sample) mover.Sample {
+	toNew := s.rand.IntN(1000) < s.share
+	rate := s.others
+	if toNew {
+		rate = max(rate, s.failures[route])
+	}
+	c := detector.Counts{Requests: 1}
+	if s.rand.Float64() < rate {
+		c.Errors = 1
+	}
+	if now < s.duration {
+		s.requests++
+	}
+	if !toNew {
+		sample.Old = sample.Old.Add(c)
+		return sample
+	}
+	sample.New = sample.New.Add(c)
+	if now < s.duration {
+		s.exposed++
+	}
+	if s.lateFrom > 0 && now >= s.lateFrom {
+		s.late++
+	}
+	if s.bad += c.Errors; s.bad == badResponses && c.Errors > 0 {
+		s.lateFrom = now + rollbackTime
+	}
+	return sample
+}
+
+// withinLimits reports whether the new version got no more requests than a bad one may.
+func (s *simulation) withinLimits() bool {
+	return float64(s.exposed) <= exposureShare*float64(s.requests)+exposureSlack && s.late == 0
+}
+
+// load returns the rates of a service with some 27 requests in a second, times x.
+func load(x float64) map[string]float64 {
+	return map[string]float64{"charge": 19.6 * x, "read": 7.85 * x}
+}
+
+func everywhere(share float64) map[string]float64 {
+	return map[string]float64{"charge": share, "read": share}
+}
+
+// goal is the number of simulations in 100 that must hold.
+const goal = 99
+
+// checkExposure runs simulations of bad versions.
+func checkExposure(t *testing.T, rates, failures map[string]float64) {
+	t.Helper()
+	const runs = 200
+	for name, duration := range map[string]sequoiasill.Millis{"12 s": 12_000, "15 s": 15_000} {
+		held, rolledBack := 0, 0
+		for seed := range uint64(runs) {
+			s := &simulation{rates: rates, failures: failures, others: 0.002, duration: duration}
+			if s.run(seed) == sequoiasill.MoveRolledBack {
+				rolledBack++
+			}
+			if s.withinLimits() {
+				held++
+			}
+		}
+		if t.Logf("%s: %d of %d versions were rolled back", name, rolledBack, runs); held*100 < goal*runs {
+			t.Errorf("%s: %d of %d bad versions stayed within the limits, want %d%%", name, held, runs, goal)
+		}
+	}
+}
+
+// A version that fails many requests of a service with little traffic is rolled back before it gets more
+// requests than a bad one may (review/1: it was completed).
+func TestBadVersionOfASmallServiceIsRolledBack(t *testing.T) {
+	for name, tc := range map[string]struct{ rates, failures map[string]float64 }{
+		"a quarter":              {load(1), everywhere(0.25)},
+		"a quarter at half load": {load(0.5), everywhere(0.25)},
+		"two in five":            {load(1), everywhere(0.4)},
+		"three in five":          {load(1), everywhere(0.6)},
+		"all":                    {load(1), everywhere(1)},
+		"a quarter at ten times": {load(10), everywhere(0.25)},
+		"a tenth at ten times":   {load(10), everywhere(0.1)},
+		"half of the charges":    {load(1), map[string]float64{"charge": 0.5}},
+	} {
+		t.Run(name, func(t *testing.T) { checkExposure(t, tc.rates, tc.failures) })
+	}
+}
+
+// A version that fails one in ten of few requests is rolled back in time, too.
+func TestRarelyFailingVersionOfASmallServiceIsRolledBack(t *testing.T) {
+	checkExposure(t, load(1), everywhere(0.1))
+}
+
+// A good version is completed, also if its service has few requests.
+func TestGoodVersionOfASmallServiceIsCompleted(t *testing.T) {
+	for name, tc := range map[string]struct {
+		rates  map[string]float64
+		others float64
+	}{
+		"27 requests in a second":    {load(1), 0.002},
+		"14 requests in a second":    {load(0.5), 0.002},
+		"three requests in a second": {load(0.1), 0.002},
+		"no failures":                {load(0.5), 0},
+		"274 requests in a second":   {load(10), 0.002},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const runs = 200
+			done := 0
+			for seed := range uint64(runs) {
+				s := &simulation{rates: tc.rates, others: tc.others, duration: 15 * sequoiasill.Second}
+				if s.run(seed) == sequoiasill.MoveDone {
+					done++
+				}
+			}
+			if done*100 < goal*runs {
+				t.Errorf("%d of %d good versions were completed, want %d%%", done, runs, goal)
+			}
+		})
+	}
+}
--- a/relay/roller/roller.go
+++ b/relay/roller/roller.go
@@ -45,9 +45,9 @@
 // upstreams are then stopped without draining.
 func DefaultOptions() mover.Options {
 	o := mover.DefaultOptions()
-	o.Stages = []mover.Stage{{From: 0, Share: 0}, {From: 20, Share: 50}, {From: 450, Share: 100}, {From: 600, Share: 250}, {From: 800, Share: 950}, {From: 880, Share: 980}}
-	o.EndAt = 960
-	o.MinRequests, o.MinPerRoute = 40, 0
+	o.Stages = []mover.Stage{{From: 0, Share: 0}, {From: 20, Share: 50}, {From: 450, Share: 100}, {From: 600, Share: 250}, {From: 800, Share: 950, Final: true}, {From: 880, Share: 980, Final: true}}
+	o.EndAt, o.DecideAt = 960, 980
+	o.MinRequests, o.MinPerRoute, o.MinShare = 40, 0, 50
 	return o
 }
 
