Roller: an order knows the version in use and the one that was rejected

An order for a third version sends v2 a third of the calls.

Cause: entries knew the target of the last order only and took each other version for the old one.

Change: an order carries the version in use and the rejected one. They follow from the orders before, from the status in the store or, for a first order, from the upstreams; they are gossiped, and the version in use is written to the order's status.

--- a/move.go
+++ b/move.go
@@ -11,6 +11,14 @@
 	Deadline Millis
 }
 
+// VersionAssignment tells which version of a service serves a call.
+type VersionAssignment struct {
+	Target   string // version of the service's last order, empty if there is none
+	ToTarget bool   // the call is assigned to it
+	InUse    string // version that the service ran when it was ordered, empty if not known
+	Rejected string // version of an earlier order that was not completed, empty if there is none
+}
+
 // MoveEnd is the outcome of a move.
 type MoveEnd string
 
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -140,12 +140,10 @@
 	Failed(service string)
 }
 
-// Moves assigns calls to the old or the new version of a service during a move.
+// Moves assigns calls to the versions of a service during a move.
 type Moves interface {
-	// Target returns the version that a service is being moved to, or was moved to by its last
-	// order, and whether the call goes to that version. The version is empty if there is no
-	// order.
-	Target(service, call string) (version string, toTarget bool)
+	// Assign returns which version of a service serves a call.
+	Assign(service, call string) sequoiasill.VersionAssignment
 	// Record adds the result of a call at an upstream, with the time to its response or to its
 	// first event. A stream that is interrupted is recorded twice.
 	Record(service, route, version string, failed bool, took sequoiasill.Millis)
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -177,8 +177,7 @@
 	usageCounts    map[string]int
 	quarantined    []blamer.Fingerprint
 	draining       []string // upstreams
-	target         string   // version that the service is moved to
-	toTarget       bool
+	assignment     sequoiasill.VersionAssignment
 	records        []string
 	limits         []string // announced rate limits
 	permitRequests int
@@ -187,9 +186,7 @@
 	permitUses     []string // reports on permits
 }
 
-func (u *fakePeers) Target(string, string) (version string, toTarget bool) {
-	return u.target, u.toTarget
-}
+func (u *fakePeers) Assign(string, string) sequoiasill.VersionAssignment { return u.assignment }
 
 func (u *fakePeers) Record(service, route, version string, failed bool, _ sequoiasill.Millis) {
 	u.mu.Lock()
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -242,24 +242,29 @@
 	}
 }
 
-// candidatesForVersion returns the candidates of the version that the call is assigned to
-// during a move. A call that is assigned to the new version falls back to the old one if
-// the new one has no untried upstream, but never the other way round.
+// candidatesForVersion returns the candidates of the version that the call is assigned to. If it has
+// no untried upstream, the call falls back to the other versions, but never to the target of a move
+// nor to a version that was rejected before.
 func (d *Dispatcher) candidatesForVersion(j *job, candidates []registrar.Candidate) []registrar.Candidate {
-	target, toTarget := d.moves.Target(j.service, j.call.ID)
-	if target == "" {
+	a := d.moves.Assign(j.service, j.call.ID)
+	if a.Target == "" {
 		return candidates
 	}
-	var others, onTarget []registrar.Candidate
+	assigned := a.InUse
+	if a.ToTarget {
+		assigned = a.Target
+	}
+	var onAssigned, others []registrar.Candidate
 	for _, c := range candidates {
-		if c.Replica.Version == target {
-			onTarget = append(onTarget, c)
-		} else {
+		if assigned != "" && c.Replica.Version == assigned {
+			onAssigned = append(onAssigned, c)
+		}
+		if c.Replica.Version != a.Target && c.Replica.Version != a.Rejected {
 			others = append(others, c)
 		}
 	}
-	if toTarget && slices.ContainsFunc(onTarget, func(c registrar.Candidate) bool { return !j.tried[c.Replica.Name] }) {
-		return onTarget
+	if slices.ContainsFunc(onAssigned, func(c registrar.Candidate) bool { return !j.tried[c.Replica.Name] }) {
+		return onAssigned
 	}
 	return others
 }
--- a/relay/dispatcher/shutdown_test.go
+++ b/relay/dispatcher/shutdown_test.go
@@ -158,7 +158,7 @@
 		for mode, relayed := range map[string]bool{"own": false, "relayed": true} {
 			t.Run(name+", "+mode, func(t *testing.T) {
 				t.Parallel()
-				u, paths := &fakePeers{usageCounts: make(map[string]int), target: "v2"}, &fakePaths{}
+				u, paths := &fakePeers{usageCounts: make(map[string]int), assignment: sequoiasill.VersionAssignment{Target: "v2"}}, &fakePaths{}
 				h := &hangingTransport{connects: tc.transport.connects, response: tc.transport.response, text: tc.transport.text}
 				d := newDispatcherOf(h, u, soundScreener(), paths, &fakeRelays{}, filledBudget(), hclog.NewNullLogger())
 				time.AfterFunc(50*time.Millisecond, func() { shutDownIn(d, 50) })
--- a/relay/dispatcher/versions_test.go
+++ b/relay/dispatcher/versions_test.go
@@ -32,7 +32,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			c, u := &fakeTransport{steps: tc.steps}, &fakePeers{usageCounts: make(map[string]int), target: "v2", toTarget: tc.toTarget}
+			c, u := &fakeTransport{steps: tc.steps}, &fakePeers{usageCounts: make(map[string]int), assignment: sequoiasill.VersionAssignment{Target: "v2", ToTarget: tc.toTarget}}
 			d := newDispatcher(t, c, u)
 			d.WithRegistrar(func(r *registrar.Registrar) {
 				for i := range 3 + tc.newUpstreams {
@@ -58,6 +58,58 @@
 	}
 }
 
+// After a rollback, calls go to the version in use and not to the one that was rolled back, whatever
+// is ordered next (review/2).
+func TestVersionThatWasRolledBackGetsNoCallsOfTheNextOrder(t *testing.T) {
+	tests := map[string]struct {
+		assignment sequoiasill.VersionAssignment
+		versions   []string // of the upstreams
+		want       []string // versions of the attempts, each of which fails until there is no further one
+	}{
+		"the order names the version in use": {
+			sequoiasill.VersionAssignment{Target: "v1", ToTarget: true, InUse: "v1", Rejected: "v2"}, []string{"v1", "v2", "v2"}, []string{"v1"},
+		},
+		"the order names a third version": {
+			sequoiasill.VersionAssignment{Target: "v3", InUse: "v1", Rejected: "v2"}, []string{"v1", "v2", "v2", "v3"}, []string{"v1"},
+		},
+		"a call to the third version": {
+			sequoiasill.VersionAssignment{Target: "v3", ToTarget: true, InUse: "v1", Rejected: "v2"}, []string{"v1", "v2", "v3"}, []string{"v3", "v1"},
+		},
+		"the version in use is not known": {
+			sequoiasill.VersionAssignment{Target: "v3", Rejected: "v2"}, []string{"v1", "v2", "v2", "v3"}, []string{"v1"},
+		},
+		"no upstream of the version in use": {
+			sequoiasill.VersionAssignment{Target: "v3", InUse: "v1", Rejected: "v2"}, []string{"v2", "v3"}, nil,
+		},
+		"upstreams of a version in use before": {
+			sequoiasill.VersionAssignment{Target: "v3", InUse: "v1", Rejected: "v2"}, []string{"v0", "v2", "v3"}, []string{"v0"},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			bad := step{status: 500, body: "bad"}
+			c, u := &fakeTransport{steps: []step{bad, bad, bad}}, &fakePeers{usageCounts: make(map[string]int), assignment: tc.assignment}
+			d := newDispatcher(t, c, u)
+			d.WithRegistrar(func(r *registrar.Registrar) {
+				for i := range 4 {
+					r.Remove(0, fmt.Sprintf("r%d", i), 3)
+				}
+				for i, version := range tc.versions {
+					r.Announce(0, sequoiasill.Replica{Name: fmt.Sprintf("n%d", i), Service: "plain", Address: "10.0.0.1:1", Slots: 4, Revision: 2, Version: version})
+				}
+			})
+			d.Serve(context.Background(), call("/read/x", "key"), &reply{})
+			var sent []string
+			for _, a := range c.attempts {
+				sent = append(sent, a.Replica.Version)
+			}
+			if diff := cmp.Diff(tc.want, sent); diff != "" {
+				t.Errorf("versions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // A stream counts for its version at its first event, and not only at its end, which may be
 // seconds later.
 func TestStreamCountsForItsVersionAtItsFirstEvent(t *testing.T) {
--- a/relay/roller/orders.go
+++ b/relay/roller/orders.go
@@ -1,6 +1,8 @@
 package roller
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -16,6 +18,7 @@
 type order struct {
 	sequoiasill.Rollout
 
+	running         []string           // versions of the service's upstreams at that time, nil for an order of another entry
 	startedAt       sequoiasill.Millis // time at which the first entry received the order
 	unrecordedSince sequoiasill.Millis // time since which the stored state differs from the move's, 0 if it does not
 }
@@ -23,12 +26,21 @@
 // move returns the move that carries out the order.
 func (o order) move() sequoiasill.Move {
 	duration := o.Duration - min(endMargin, o.Duration/endMarginDivisor)
-	return sequoiasill.Move{Name: o.Service + "-" + o.Target, Service: o.Service, To: o.Target, Start: o.startedAt, Deadline: o.startedAt + max(duration, 1)}
+	return sequoiasill.Move{Name: o.Service + "-" + o.Target, Service: o.Service, From: o.from(), To: o.Target, Start: o.startedAt, Deadline: o.startedAt + max(duration, 1)}
+}
+
+// from returns the version with which the target is compared: that in use, or any other if it is not
+// known or the target itself.
+func (o order) from() string {
+	if o.InUse == o.Target {
+		return ""
+	}
+	return o.InUse
 }
 
 // ApplyOrder processes an order read from the store and publishes it to the other entries.
 func (r *Roller) ApplyOrder(ro sequoiasill.Rollout) {
-	kept, updated := r.setOrder(order{Rollout: ro, startedAt: r.clock.Now()}, "store")
+	kept, updated := r.setOrder(order{Rollout: ro, startedAt: r.clock.Now(), running: r.versions(ro.Service)}, "store")
 	p := r.peers()
 	if !updated || p == nil {
 		return
@@ -66,8 +78,15 @@
 		return old, false
 	}
 	same := known && old.Target == o.Target && old.Duration == o.Duration
-	if same {
+	switch {
+	case same:
 		o.startedAt, o.unrecordedSince = min(o.startedAt, old.startedAt), old.unrecordedSince
+		o.InUse, o.Rejected = cmp.Or(o.InUse, old.InUse), cmp.Or(o.Rejected, old.Rejected)
+	case known:
+		o.Rollout = o.After(old.Rollout, r.outcome(old))
+	}
+	if o.InUse == "" {
+		o.InUse = o.onlyRunning()
 	}
 	r.orders[o.Service] = o
 	cfg := sequoiasill.Config{}
@@ -86,6 +105,37 @@
 	return o, true
 }
 
+// outcome returns the recorded outcome of an order, or the one that this entry knows.
+func (r *Roller) outcome(o order) sequoiasill.MoveEnd {
+	if o.State != sequoiasill.MoveOpen {
+		return o.State
+	}
+	for _, report := range r.shifter.Reports() {
+		if report.Move.Name == o.move().Name {
+			return report.Status.End
+		}
+	}
+	return sequoiasill.MoveOpen
+}
+
+// onlyRunning returns the version that the service ran when it was ordered, if its upstreams had
+// only one besides the target and the rejected version. If they had none, that is the target.
+func (o order) onlyRunning() string {
+	var others []string
+	for _, version := range o.running {
+		if version != o.Target && version != o.Rejected {
+			others = append(others, version)
+		}
+	}
+	switch {
+	case len(others) == 1:
+		return others[0]
+	case len(others) == 0 && slices.Contains(o.running, o.Target):
+		return o.Target
+	}
+	return ""
+}
+
 // applyEnd passes the outcome of a move that is recorded in the store to the shifter.
 func (r *Roller) applyEnd(o order) {
 	name := o.move().Name
@@ -118,11 +168,14 @@
 	StartedAt int64  `cbor:"3,keyasint"`
 	State     string `cbor:"4,keyasint,omitempty"`
 	Started   bool   `cbor:"5,keyasint,omitempty"`
+	InUse     string `cbor:"6,keyasint,omitempty"`
+	Rejected  string `cbor:"7,keyasint,omitempty"`
 }
 
 func encodeOrder(o order) ([]byte, error) {
 	b, err := cbor.Marshal(wireOrder{
 		Target: o.Target, Duration: int64(o.Duration), StartedAt: int64(o.startedAt), State: string(o.State), Started: o.Recorded,
+		InUse: o.InUse, Rejected: o.Rejected,
 	})
 	return b, errors.Annotate(err, "encode order")
 }
@@ -136,6 +189,7 @@
 		Rollout: sequoiasill.Rollout{
 			Service: service, Target: w.Target, Duration: sequoiasill.Millis(w.Duration), Revision: revision,
 			State: sequoiasill.MoveEnd(w.State), Recorded: w.Started,
+			InUse: w.InUse, Rejected: w.Rejected,
 		},
 		startedAt: sequoiasill.Millis(w.StartedAt),
 	}, nil
--- a/relay/roller/roller.go
+++ b/relay/roller/roller.go
@@ -61,10 +61,10 @@
 	Rank() int
 }
 
-// Recorder writes the state of a move to the operator's order, unless the order was
-// replaced or has ended. It returns the resulting order.
+// Recorder writes the state of a move and the version in use to the operator's order, unless the
+// order was replaced or has ended. It returns the resulting order.
 type Recorder interface {
-	Record(service, target string, end sequoiasill.MoveEnd) (sequoiasill.Rollout, error)
+	Record(ro sequoiasill.Rollout) (sequoiasill.Rollout, error)
 }
 
 // Roller runs the ordered moves until Close. It is safe for concurrent use.
@@ -72,6 +72,7 @@
 	self     string
 	peers    func() Peers // returns nil until the other entries are known
 	recorder Recorder
+	versions func(service string) []string
 	clock    sequoiasill.Clock
 	log      hclog.Logger
 	shifter  *shifter.Shifter
@@ -83,10 +84,11 @@
 	orders map[string]order // by service
 }
 
-// New starts a Roller. Self is the name of the instance, session identifies its process.
-func New(self, session string, store controller.Store, recorder Recorder, peers func() Peers, clock sequoiasill.Clock, log hclog.Logger) *Roller {
+// New starts a Roller. Self is the name of the instance, session identifies its process, and
+// versions returns the versions of a service's upstreams.
+func New(self, session string, store controller.Store, recorder Recorder, versions func(service string) []string, peers func() Peers, clock sequoiasill.Clock, log hclog.Logger) *Roller {
 	r := &Roller{
-		self: self, peers: peers, recorder: recorder, clock: clock, log: log.Named("moves"),
+		self: self, peers: peers, recorder: recorder, versions: versions, clock: clock, log: log.Named("moves"),
 		stop: make(chan struct{}), orders: make(map[string]order),
 	}
 	r.shifter = shifter.New(self, clock, r, r.log)
@@ -116,12 +118,19 @@
 	r.control.Close()
 }
 
-// Target returns the version that a service is being moved to, or was moved to by its last
-// order, and whether a call is routed to it. After a rollback no call is, and after a
-// completed move every call. The version is empty if there is no order.
-func (r *Roller) Target(service, call string) (version string, to bool) {
+// Assign returns which version of a service serves a call. After a rollback no call is assigned
+// to the target, and after a completed move every call. If the order names the version in use,
+// every call is.
+func (r *Roller) Assign(service, call string) sequoiasill.VersionAssignment {
 	move, to, _ := r.shifter.Split(service, sequoiasill.RequestID(call))
-	return move.To, to
+	a := sequoiasill.VersionAssignment{Target: move.To, ToTarget: to}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o, ok := r.orders[service]; ok && o.Target == move.To {
+		a.InUse, a.Rejected = o.InUse, o.Rejected
+		a.ToTarget = to || o.Target == o.InUse
+	}
+	return a
 }
 
 // Moving reports whether a move of the service is in progress.
@@ -192,7 +201,8 @@
 		if !due {
 			continue
 		}
-		recorded, err := r.recorder.Record(o.Service, o.Target, report.Status.End)
+		o.State = report.Status.End
+		recorded, err := r.recorder.Record(o.Rollout)
 		if err != nil {
 			r.log.Warn("state of a move not recorded", "service", o.Service, "version", o.Target, "error", err)
 			continue
--- a/replica.go
+++ b/replica.go
@@ -78,4 +78,24 @@
 	Revision uint64  // store version
 	State    MoveEnd // state in the store
 	Recorded bool    // a state has been recorded in the store
+	// InUse is the version that the service ran when it was ordered, empty if that is not known.
+	InUse string
+	// Rejected is the target of the order before, if that was not completed.
+	Rejected string
+}
+
+// After returns the order with the versions that follow from the one that it replaces, whose move
+// had the given outcome by then. What the order itself tells is kept.
+func (r Rollout) After(last Rollout, end MoveEnd) Rollout {
+	if r.InUse != "" {
+		return r
+	}
+	r.InUse, r.Rejected = last.InUse, last.Target
+	if end == MoveDone {
+		r.InUse, r.Rejected = last.Target, ""
+	}
+	if r.Rejected == r.InUse {
+		r.Rejected = ""
+	}
+	return r
 }
