Mover: doubts keep a version from the last stages, only suspicions from completion

Change: two levels. A doubt keeps the share, a suspicion rolls back at the end.

TestBadVersionOfASmallServiceIsRolledBack passes.

--- a/decide/mover/mover.go
+++ b/decide/mover/mover.go
@@ -37,7 +37,7 @@
 }
 
 // Stage is a share of traffic and the fraction of the time up to the deadline at which
-// it begins, both in thousandths. A final stage is left out while errors are suspected.
+// it begins, both in thousandths. A final stage is left out while errors of the new version are in doubt.
 type Stage struct {
 	From  int
 	Share int
@@ -179,7 +179,7 @@
 }
 
 // targetShare returns the share of the current stage. The shares before the final stages never
-// fall. If the new version is suspected to fail when the final stages are due, it keeps its share.
+// fall. While errors of the new version are in doubt, it keeps the share that it had before these.
 func (m *Mover) targetShare(now sequoiasill.Millis) int {
 	early, final := 0, 0
 	for _, s := range m.opts.Stages {
@@ -192,7 +192,7 @@
 		}
 	}
 	m.early = max(m.early, early)
-	if final == 0 || m.suspectedRoute() != "" {
+	if final == 0 || m.routeWhere((*detector.Detector).IsDoubtful) != "" {
 		return m.early
 	}
 	return max(m.early, final)
@@ -209,10 +209,10 @@
 	return min(share, highest)
 }
 
-// suspectedRoute returns a route on which the new version may fail more often, or "".
-func (m *Mover) suspectedRoute() string {
+// routeWhere returns a route for which is reports true of its detector, or "".
+func (m *Mover) routeWhere(is func(*detector.Detector) bool) string {
 	for _, route := range slices.Sorted(maps.Keys(m.detectors)) {
-		if m.detectors[route].IsSuspected() {
+		if is(m.detectors[route]) {
 			return route
 		}
 	}
@@ -224,7 +224,7 @@
 	if m.elapsed(now) < m.opts.EndAt {
 		return
 	}
-	if route := m.suspectedRoute(); route != "" {
+	if route := m.routeWhere((*detector.Detector).IsSuspected); route != "" {
 		if m.elapsed(now) < m.opts.DecideAt {
 			return
 		}
