Dispatcher: upstreams without a version are not taken for a rejected one

Cause: no rejected version and an upstream without a version are both the empty string, so that such an upstream got no calls during a move.

Test: TestShutdownAnswersCallsInProgress, as it was; passes again.

--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -259,7 +259,7 @@
 		if assigned != "" && c.Replica.Version == assigned {
 			onAssigned = append(onAssigned, c)
 		}
-		if c.Replica.Version != a.Target && c.Replica.Version != a.Rejected {
+		if c.Replica.Version != a.Target && (a.Rejected == "" || c.Replica.Version != a.Rejected) {
 			others = append(others, c)
 		}
 	}
