Moves: an order of a version is told from earlier ones of the same version

A version that was rolled back and mended could not be ordered again: rolled back at once.

Cause: status, brake and evidence of a move were kept under the service and the version, without an end.

Change: an order is identified by the store version at which it was first seen; what belongs to a move carries it. The status of an order tells it to entries that start later.

TestResultOfAnEarlierOrderDoesNotEndALaterOne and TestFactsOfAnEarlierOrderDoNotCount have the cases of the store and of gossip.

--- a/config/encoder/status.go
+++ b/config/encoder/status.go
@@ -18,12 +18,13 @@
 	Reason  string `json:"reason,omitempty"`
 	Epoch   uint64 `json:"epoch"`
 	Changed int64  `json:"changedMillis"`
+	Order   uint64 `json:"order,omitempty"`
 }
 
 // EncodeStatus encodes the status of a move for the store.
 func EncodeStatus(s sequoiasill.MoveStatus) ([]byte, error) {
 	b, err := json.Marshal(wireStatus{
-		Move: s.Move, Share: s.Share, End: string(s.End), Reason: s.Reason, Epoch: s.Epoch, Changed: int64(s.Changed),
+		Move: s.Move, Share: s.Share, End: string(s.End), Reason: s.Reason, Epoch: s.Epoch, Changed: int64(s.Changed), Order: s.Order,
 	})
 	return b, errors.Annotate(err, "encode status")
 }
@@ -35,7 +36,7 @@
 		return sequoiasill.MoveStatus{}, errors.Annotate(err, "decode status")
 	}
 	return sequoiasill.MoveStatus{
-		Move: w.Move, Share: w.Share, End: sequoiasill.MoveEnd(w.End), Reason: w.Reason, Epoch: w.Epoch, Changed: sequoiasill.Millis(w.Changed),
+		Move: w.Move, Share: w.Share, End: sequoiasill.MoveEnd(w.End), Reason: w.Reason, Epoch: w.Epoch, Changed: sequoiasill.Millis(w.Changed), Order: w.Order,
 	}, nil
 }
 
--- a/config/reporter/reporter.go
+++ b/config/reporter/reporter.go
@@ -40,6 +40,8 @@
 type wireSample struct {
 	Old [3]int `json:"old"`
 	New [3]int `json:"new"`
+	// Order is that of the move, where entries send their samples one by one.
+	Order uint64 `json:"order,omitempty"`
 }
 
 // Encode encodes reports as JSON.
@@ -83,19 +85,27 @@
 	return out, nil
 }
 
-// EncodeSamples encodes the samples of one entry, by route, as JSON.
-func EncodeSamples(m map[string]mover.Sample) ([]byte, error) {
-	b, err := json.Marshal(encodeSamples(m))
+// EncodeSamples encodes the samples of one entry on a move, by route, as JSON.
+func EncodeSamples(m map[string]mover.Sample, order uint64) ([]byte, error) {
+	wire := encodeSamples(m)
+	for route, w := range wire {
+		w.Order = order
+		wire[route] = w
+	}
+	b, err := json.Marshal(wire)
 	return b, errors.Annotate(err, "encode evidence")
 }
 
-// DecodeSamples decodes the output of EncodeSamples.
-func DecodeSamples(b []byte) (map[string]mover.Sample, error) {
-	var w map[string]wireSample
-	if err := json.Unmarshal(b, &w); err != nil {
-		return nil, errors.Annotate(err, "decode evidence")
+// DecodeSamples decodes the output of EncodeSamples. The order is 0 if the sender does not tell it.
+func DecodeSamples(b []byte) (samples map[string]mover.Sample, order uint64, err error) {
+	var wire map[string]wireSample
+	if err := json.Unmarshal(b, &wire); err != nil {
+		return nil, 0, errors.Annotate(err, "decode evidence")
+	}
+	for _, w := range wire {
+		order = max(order, w.Order)
 	}
-	return decodeSamples(w), nil
+	return decodeSamples(wire), order, nil
 }
 
 func encodeSamples(m map[string]mover.Sample) map[string]wireSample {
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -186,6 +186,9 @@
 		c.log.Warn("cannot read move status", "move", r.move.Name, "error", err)
 		return false
 	}
+	if !status.BelongsTo(r.move, version) {
+		status = sequoiasill.MoveStatus{Move: r.move.Name}
+	}
 	r.epoch, r.status, r.version = epoch, status, version
 	r.mover = mover.New(r.move, r.status.Share, c.opts)
 	r.seen = nil
@@ -216,7 +219,7 @@
 // write stores a status by a conditional write. A conflict means that an operator, or a
 // controller with a later epoch, has written first.
 func (c *Controller) write(r *run, s sequoiasill.MoveStatus) {
-	s.Epoch = r.epoch
+	s.Epoch, s.Order = r.epoch, r.move.Order
 	s.Changed = c.clock.Now()
 	value, err := encoder.EncodeStatus(s)
 	if err != nil {
@@ -240,7 +243,10 @@
 	}
 	// Read the current status; if the response was lost, it may be the one just written.
 	if status, version, err := c.read(s.Move); err == nil {
-		r.status, r.version = status, version
+		r.version = version
+		if status.BelongsTo(r.move, version) {
+			r.status = status
+		}
 	}
 }
 
--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -6,6 +6,7 @@
 package shifter
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -46,39 +47,87 @@
 	mu           sync.Mutex
 	moves        []sequoiasill.Move
 	generation   uint64 // of the current configuration
-	statuses     map[string]sequoiasill.MoveStatus
-	brakes       map[string]string                             // reason, by move
-	trials       map[string]*trial                             // by move
-	latencies    map[string]*latencies                         // by service
-	peerEvidence map[string]map[string]map[string]mover.Sample // by move, entry and route
+	statuses     map[moveKey]versionedStatus
+	brakes       map[string]brake               // by move
+	trials       map[string]*trial              // by move
+	latencies    map[string]*latencies          // by service
+	peerEvidence map[string]map[string]evidence // by move and entry
+}
+
+// moveKey identifies a move among those of the same name.
+type moveKey struct {
+	name  string
+	order uint64
+}
+
+// versionedStatus is the status of a move and its version in the store.
+type versionedStatus struct {
+	sequoiasill.MoveStatus
+
+	version uint64
+}
+
+// brake is a stop of a move because of a regression.
+type brake struct {
+	reason string
+	order  uint64 // of the move, or of a later one
+}
+
+// evidence is what another entry measured of a move.
+type evidence struct {
+	order   uint64 // 0 if the entry does not tell
+	samples map[string]mover.Sample
 }
 
 // New returns the shifter of the named entry.
 func New(entry string, clock sequoiasill.Clock, p Publisher, log hclog.Logger) *Shifter {
 	return &Shifter{
 		entry: entry, clock: clock, publisher: p, log: log.Named("shifter"),
-		statuses: make(map[string]sequoiasill.MoveStatus), brakes: make(map[string]string),
-		trials: make(map[string]*trial), latencies: make(map[string]*latencies), peerEvidence: make(map[string]map[string]map[string]mover.Sample),
+		statuses: make(map[moveKey]versionedStatus), brakes: make(map[string]brake),
+		trials: make(map[string]*trial), latencies: make(map[string]*latencies), peerEvidence: make(map[string]map[string]evidence),
 	}
 }
 
-// SetConfig sets the declared moves. A brake remains until its move is declared
-// again with a change, such as other times.
+// SetConfig sets the declared moves. A brake remains until its move is ordered again, or
+// declared again with a change, such as other times.
 func (s *Shifter) SetConfig(cfg sequoiasill.Config) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, m := range cfg.Moves {
-		for _, old := range s.moves {
-			if old.Name == m.Name && old != m {
-				delete(s.brakes, m.Name)
-				delete(s.trials, m.Name)
-			}
+	for _, old := range s.moves {
+		i := slices.IndexFunc(cfg.Moves, func(m sequoiasill.Move) bool { return m.Name == old.Name })
+		if i < 0 || cfg.Moves[i].Order != old.Order || old.Order == 0 && cfg.Moves[i] != old {
+			delete(s.trials, old.Name)
+		}
+		if i >= 0 && cfg.Moves[i].Order == 0 && cfg.Moves[i] != old {
+			delete(s.brakes, old.Name)
 		}
 	}
+	for _, m := range cfg.Moves {
+		maps.DeleteFunc(s.statuses, func(k moveKey, _ versionedStatus) bool { return k.name == m.Name && 0 < k.order && k.order < m.Order })
+	}
 	s.moves = cfg.Moves
 	s.generation = cfg.Generation
 }
 
+// status returns the status of a move. The caller holds the lock.
+func (s *Shifter) status(m sequoiasill.Move) sequoiasill.MoveStatus {
+	if status, ok := s.statuses[moveKey{m.Name, m.Order}]; ok {
+		return status.MoveStatus
+	}
+	if status, ok := s.statuses[moveKey{m.Name, 0}]; ok && status.BelongsTo(m, status.version) {
+		return status.MoveStatus
+	}
+	return sequoiasill.MoveStatus{}
+}
+
+// brakeReason returns why a move is braked, or "". The caller holds the lock.
+func (s *Shifter) brakeReason(m sequoiasill.Move) string {
+	if b := s.brakes[m.Name]; b.order >= m.Order {
+		return b.reason
+	}
+	return ""
+}
+
 // shareScale is the share that stands for all traffic.
 const shareScale = 1000
 
@@ -105,12 +154,11 @@
 		return sequoiasill.Move{}, false, false
 	}
 	m = s.moves[i]
-	status := s.statuses[m.Name]
-	_, braked := s.brakes[m.Name]
+	status := s.status(m)
 	switch {
 	case status.End == sequoiasill.MoveDone:
 		return m, true, true
-	case status.End == sequoiasill.MoveRolledBack || braked:
+	case status.End == sequoiasill.MoveRolledBack || s.brakeReason(m) != "":
 		return m, false, true
 	}
 	return m, int(xxhash.Sum64String(string(id))%shareScale) < status.Share, true
@@ -148,7 +196,7 @@
 			t = newTrial()
 			s.trials[m.Name] = t
 		}
-		isNew = version == m.To && s.statuses[m.Name].End != sequoiasill.MoveDone
+		isNew = version == m.To && s.status(m).End != sequoiasill.MoveDone
 		t.record(route, version == m.To, failed, slow)
 	}
 	if failed || isNew {
@@ -176,6 +224,7 @@
 func (s *Shifter) Evaluate() {
 	type outgoing struct {
 		move     string
+		order    uint64
 		evidence []byte
 		brake    string
 	}
@@ -187,29 +236,28 @@
 	}
 	for _, m := range s.moves {
 		t, ok := s.trials[m.Name]
-		if !ok || s.statuses[m.Name].End != sequoiasill.MoveOpen {
+		if !ok || s.status(m).End != sequoiasill.MoveOpen {
 			continue
 		}
-		o := outgoing{move: m.Name}
-		if _, braked := s.brakes[m.Name]; !braked {
+		o := outgoing{move: m.Name, order: cmp.Or(m.Order, s.generation)}
+		if s.brakeReason(m) == "" {
 			o.brake = t.evaluate()
 			if o.brake != "" {
-				s.brakes[m.Name] = o.brake
+				s.brakes[m.Name] = brake{reason: o.brake, order: m.Order}
 			}
 		}
-		value, err := reporter.EncodeSamples(t.total)
+		value, err := reporter.EncodeSamples(t.total, m.Order)
 		if err == nil && t.changed {
 			t.changed = false
 			o.evidence = value
 		}
 		out = append(out, o)
 	}
-	generation := s.generation
 	s.mu.Unlock()
 	for _, o := range out {
 		if o.brake != "" {
 			s.log.Warn("move braked", "move", o.move, "reason", o.brake)
-			s.publisher.Publish(BrakePrefix+o.move, generation, []byte(o.brake), true, 0)
+			s.publisher.Publish(BrakePrefix+o.move, o.order, []byte(o.brake), true, 0)
 		}
 		if o.evidence != nil {
 			s.publisher.Publish(EvidencePrefix+o.move+"/"+s.entry, uint64(now), o.evidence, false, evidenceTTL)
@@ -221,14 +269,17 @@
 func (s *Shifter) HandleFact(f gossiper.Fact) {
 	if move, ok := strings.CutPrefix(f.Key, StatusPrefix); ok {
 		if status, err := encoder.DecodeStatus(f.Value); err == nil && status.Move == move {
-			s.setStatus(status)
+			s.setStatus(status, f.Version)
 		}
 		return
 	}
 	if move, ok := strings.CutPrefix(f.Key, BrakePrefix); ok {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.brakes[move] = string(f.Value)
+		if s.brakes[move].order > f.Version {
+			return
+		}
+		s.brakes[move] = brake{reason: string(f.Value), order: f.Version}
 		s.log.Warn("move braked elsewhere", "move", move, "reason", string(f.Value))
 		return
 	}
@@ -237,15 +288,21 @@
 	}
 }
 
-func (s *Shifter) setStatus(status sequoiasill.MoveStatus) {
+// setStatus applies a status unless the move has ended.
+func (s *Shifter) setStatus(status sequoiasill.MoveStatus, version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old := s.statuses[status.Move]
+	i := slices.IndexFunc(s.moves, func(m sequoiasill.Move) bool { return m.Name == status.Move })
+	if i >= 0 && status.Order == 0 && status.BelongsTo(s.moves[i], version) {
+		status.Order = s.moves[i].Order
+	}
+	key := moveKey{status.Move, status.Order}
+	old := s.statuses[key]
 	if old.End != sequoiasill.MoveOpen {
 		return
 	}
-	s.statuses[status.Move] = status
-	if old != status {
+	s.statuses[key] = versionedStatus{status, version}
+	if old.MoveStatus != status {
 		s.log.Info("move", "name", status.Move, "share", status.Share, "end", status.End, "reason", status.Reason)
 	}
 }
@@ -255,7 +312,7 @@
 	if separator < 0 {
 		return
 	}
-	samples, err := reporter.DecodeSamples(value)
+	samples, order, err := reporter.DecodeSamples(value)
 	if err != nil {
 		return
 	}
@@ -263,9 +320,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.peerEvidence[move] == nil {
-		s.peerEvidence[move] = make(map[string]map[string]mover.Sample)
+		s.peerEvidence[move] = make(map[string]evidence)
 	}
-	s.peerEvidence[move][entry] = samples
+	s.peerEvidence[move][entry] = evidence{order, samples}
 }
 
 // Reports returns this entry's view of all declared moves.
@@ -275,10 +332,12 @@
 	var out []reporter.Report
 	for _, m := range s.moves {
 		r := reporter.Report{
-			Move: m, Status: s.statuses[m.Name], BrakeReason: s.brakes[m.Name], Entries: make(map[string]map[string]mover.Sample),
+			Move: m, Status: s.status(m), BrakeReason: s.brakeReason(m), Entries: make(map[string]map[string]mover.Sample),
 		}
-		for entry, samples := range s.peerEvidence[m.Name] {
-			r.Entries[entry] = samples
+		for entry, e := range s.peerEvidence[m.Name] {
+			if e.order == m.Order || e.order == 0 {
+				r.Entries[entry] = e.samples
+			}
 		}
 		if t, ok := s.trials[m.Name]; ok {
 			r.Entries[s.entry] = maps.Clone(t.total)
--- a/move.go
+++ b/move.go
@@ -9,6 +9,9 @@
 	To       string
 	Start    Millis
 	Deadline Millis
+	// Order tells moves of the same name apart that were ordered one after the other. It rises, and
+	// is 0 for a move that is declared only once.
+	Order uint64
 }
 
 // VersionAssignment tells which version of a service serves a call.
@@ -33,9 +36,17 @@
 // MoveStatus is the persisted state of a move.
 type MoveStatus struct {
 	Move    string
-	Share   int // traffic on the new version in thousandths
+	Order   uint64 // of the move, 0 if the writer does not tell
+	Share   int    // traffic on the new version in thousandths
 	End     MoveEnd
 	Reason  string
 	Epoch   uint64 // lease epoch of the writer
 	Changed Millis
 }
+
+// BelongsTo reports whether the status, which was read as a version of its object, is that of a move
+// and not of an earlier order of the same name. One without an order was written by an older
+// build, after the order if the version is newer.
+func (s MoveStatus) BelongsTo(m Move, version uint64) bool {
+	return s.Order == m.Order || s.Order == 0 && version > m.Order
+}
--- a/relay/roller/orders.go
+++ b/relay/roller/orders.go
@@ -18,6 +18,7 @@
 type order struct {
 	sequoiasill.Rollout
 
+	fromStore       bool               // read from the store by this entry
 	running         []string           // versions of the service's upstreams at that time, nil for an order of another entry
 	startedAt       sequoiasill.Millis // time at which the first entry received the order
 	unrecordedSince sequoiasill.Millis // time since which the stored state differs from the move's, 0 if it does not
@@ -26,7 +27,7 @@
 // move returns the move that carries out the order.
 func (o order) move() sequoiasill.Move {
 	duration := o.Duration - min(endMargin, o.Duration/endMarginDivisor)
-	return sequoiasill.Move{Name: o.Service + "-" + o.Target, Service: o.Service, From: o.from(), To: o.Target, Start: o.startedAt, Deadline: o.startedAt + max(duration, 1)}
+	return sequoiasill.Move{Name: o.Service + "-" + o.Target, Service: o.Service, From: o.from(), To: o.Target, Start: o.startedAt, Deadline: o.startedAt + max(duration, 1), Order: o.Order}
 }
 
 // from returns the version with which the target is compared: that in use, or any other if it is not
@@ -40,7 +41,7 @@
 
 // ApplyOrder processes an order read from the store and publishes it to the other entries.
 func (r *Roller) ApplyOrder(ro sequoiasill.Rollout) {
-	kept, updated := r.setOrder(order{Rollout: ro, startedAt: r.clock.Now(), running: r.versions(ro.Service)}, "store")
+	kept, updated := r.setOrder(order{Rollout: ro, startedAt: r.clock.Now(), fromStore: true, running: r.versions(ro.Service)}, "store")
 	p := r.peers()
 	if !updated || p == nil {
 		return
@@ -74,16 +75,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old, known := r.orders[o.Service]
-	if known && old.Revision >= o.Revision {
+	if known && (old.Revision > o.Revision || old.Revision == o.Revision && o.Order <= old.Order) {
 		return old, false
 	}
-	same := known && old.Target == o.Target && old.Duration == o.Duration
+	same := known && o.continues(old)
 	switch {
 	case same:
-		o.startedAt, o.unrecordedSince = min(o.startedAt, old.startedAt), old.unrecordedSince
-		o.InUse, o.Rejected = cmp.Or(o.InUse, old.InUse), cmp.Or(o.Rejected, old.Rejected)
+		o = o.continued(old)
 	case known:
+		o = o.replacing(old)
 		o.Rollout = o.After(old.Rollout, r.outcome(old))
+	case o.Order == 0 && !o.Recorded:
+		o.Order = o.Revision
 	}
 	if o.InUse == "" {
 		o.InUse = o.onlyRunning()
@@ -100,11 +103,49 @@
 	}
 	if !same || old.State != o.State {
 		r.log.Info("move ordered", "service", o.Service, "version", o.Target, "duration", o.Duration, "state", o.State,
-			"revision", o.Revision, "source", source)
+			"revision", o.Revision, "source", source, "order", o.Order, "inUse", o.InUse, "rejected", o.Rejected)
 	}
 	return o, true
 }
 
+// continues reports whether o, as read later, is the same order as old. The operator may have replaced
+// an order by one with the same content, which keeps the status that the store had: then the store's
+// object changed without a change of its content.
+func (o order) continues(old order) bool {
+	switch {
+	case old.Target != o.Target || old.Duration != o.Duration || o.Order > old.Order && old.Order > 0:
+		return false
+	case !o.fromStore || !old.fromStore || sequoiasill.StoreEra(o.Revision) != sequoiasill.StoreEra(old.Revision):
+		return true
+	}
+	return o.Stored != old.Stored && o.Stored != ""
+}
+
+// replacing returns o without the status of an earlier order. An older build's status, which has no
+// order, is that of the new one if it has changed.
+func (o order) replacing(old order) order {
+	if o.Order > old.Order {
+		return o
+	}
+	if o.Recorded && (o.Order > 0 || o.Stored == old.Stored) {
+		o.State, o.Recorded, o.InUse = sequoiasill.MoveOpen, false, ""
+	}
+	o.Order = o.Revision
+	return o
+}
+
+// continued returns o with what is known of the order before it was read again.
+func (o order) continued(old order) order {
+	o.startedAt, o.unrecordedSince = min(o.startedAt, old.startedAt), old.unrecordedSince
+	o.InUse, o.Rejected = cmp.Or(o.InUse, old.InUse), cmp.Or(o.Rejected, old.Rejected)
+	if o.Order > 0 && o.Order < old.Order {
+		// The status is that of an earlier order.
+		o.State, o.Recorded = old.State, old.Recorded
+	}
+	o.Order = max(o.Order, old.Order)
+	return o
+}
+
 // outcome returns the recorded outcome of an order, or the one that this entry knows.
 func (r *Roller) outcome(o order) sequoiasill.MoveEnd {
 	if o.State != sequoiasill.MoveOpen {
@@ -139,12 +180,12 @@
 // applyEnd passes the outcome of a move that is recorded in the store to the shifter.
 func (r *Roller) applyEnd(o order) {
 	name := o.move().Name
-	value, err := encoder.EncodeStatus(sequoiasill.MoveStatus{Move: name, End: o.State})
+	value, err := encoder.EncodeStatus(sequoiasill.MoveStatus{Move: name, Order: o.Order, End: o.State})
 	if err != nil {
 		r.log.Error("status not encoded", "error", err)
 		return
 	}
-	r.shifter.HandleFact(gossiper.Fact{Key: shifter.StatusPrefix + name, Value: value})
+	r.shifter.HandleFact(gossiper.Fact{Key: shifter.StatusPrefix + name, Version: o.Revision, Value: value})
 }
 
 // Moves returns the status of each move by service.
@@ -170,12 +211,13 @@
 	Started   bool   `cbor:"5,keyasint,omitempty"`
 	InUse     string `cbor:"6,keyasint,omitempty"`
 	Rejected  string `cbor:"7,keyasint,omitempty"`
+	Order     uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 func encodeOrder(o order) ([]byte, error) {
 	b, err := cbor.Marshal(wireOrder{
 		Target: o.Target, Duration: int64(o.Duration), StartedAt: int64(o.startedAt), State: string(o.State), Started: o.Recorded,
-		InUse: o.InUse, Rejected: o.Rejected,
+		InUse: o.InUse, Rejected: o.Rejected, Order: o.Order,
 	})
 	return b, errors.Annotate(err, "encode order")
 }
@@ -189,7 +231,7 @@
 		Rollout: sequoiasill.Rollout{
 			Service: service, Target: w.Target, Duration: sequoiasill.Millis(w.Duration), Revision: revision,
 			State: sequoiasill.MoveEnd(w.State), Recorded: w.Started,
-			InUse: w.InUse, Rejected: w.Rejected,
+			InUse: w.InUse, Rejected: w.Rejected, Order: w.Order,
 		},
 		startedAt: sequoiasill.Millis(w.StartedAt),
 	}, nil
--- a/relay/roller/roller.go
+++ b/relay/roller/roller.go
@@ -218,12 +218,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o, known := r.orders[report.Move.Service]
-	if !known || o.move().Name != report.Move.Name {
+	if !known || o.move().Name != report.Move.Name || o.Order != report.Move.Order {
 		return o, false
 	}
 	now := r.clock.Now()
-	started := report.Status.Share > 0 || report.Status.End != sequoiasill.MoveOpen
-	if !started || o.Recorded && (o.State == report.Status.End || o.State != sequoiasill.MoveOpen) {
+	if o.Recorded && (o.State == report.Status.End || o.State != sequoiasill.MoveOpen) {
 		o.unrecordedSince = 0
 	} else if o.unrecordedSince == 0 {
 		o.unrecordedSince = now
@@ -274,6 +273,6 @@
 		return
 	}
 	key := shifter.StatusPrefix + move
-	r.shifter.HandleFact(gossiper.Fact{Key: key, Value: value})
+	r.shifter.HandleFact(gossiper.Fact{Key: key, Version: version, Value: value})
 	r.Publish(key, version, value, true, statusTTL)
 }
--- a/relay/roller/roller_test.go
+++ b/relay/roller/roller_test.go
@@ -7,7 +7,10 @@
 	"github.com/hashicorp/go-hclog"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/config/encoder"
+	"sequoiasill.dev/sequoiasill/config/reporter"
 	"sequoiasill.dev/sequoiasill/decide/gossiper"
+	"sequoiasill.dev/sequoiasill/decide/mover"
 	"sequoiasill.dev/sequoiasill/entry/shifter"
 )
 
@@ -112,6 +115,105 @@
 	}
 }
 
+// An order for a version that was ordered before starts a move of its own, whatever became of the
+// earlier one (review/3).
+func TestResultOfAnEarlierOrderDoesNotEndALaterOne(t *testing.T) {
+	type read struct {
+		revision uint64
+		target   string
+		duration sequoiasill.Millis
+		state    sequoiasill.MoveEnd // in the status, if stored is not empty
+		order    uint64              // in the status
+		stored   string
+	}
+	const d = 15_000
+	done, rolledBack, open := sequoiasill.MoveDone, sequoiasill.MoveRolledBack, sequoiasill.MoveOpen
+	tests := map[string]struct {
+		reads     []read // what the store holds, as far as this entry reads it
+		wantOrder uint64
+		wantEnd   sequoiasill.MoveEnd
+	}{
+		"back and forth": {[]read{
+			{10, "v2", d, open, 0, ""}, {11, "v2", d, done, 10, "a"}, {20, "v1", d, open, 0, "a"}, {21, "v1", d, done, 20, "b"}, {30, "v2", d, open, 0, "b"},
+		}, 30, open},
+		"the same version for another time": {[]read{{10, "v2", d, open, 0, ""}, {11, "v2", d, rolledBack, 10, "a"}, {20, "v2", 2 * d, open, 0, "a"}}, 20, open},
+		"replaced and ordered again before the status changes": {[]read{
+			{10, "v2", d, open, 0, ""}, {11, "v2", d, done, 10, "a"}, {20, "v1", d, open, 0, "a"}, {21, "v2", d, done, 10, "a"},
+		}, 21, open},
+		"replaced and ordered again while the entry does not read": {[]read{
+			{10, "v2", d, open, 0, ""}, {11, "v2", d, done, 10, "a"}, {21, "v2", d, done, 10, "a"},
+		}, 21, open},
+		"deleted and ordered again":  {[]read{{10, "v2", d, open, 0, ""}, {11, "v2", d, done, 10, "a"}, {30, "v2", d, open, 0, ""}}, 30, open},
+		"ended":                      {[]read{{10, "v2", d, open, 0, ""}, {11, "v2", d, open, 10, "a"}, {12, "v2", d, rolledBack, 10, "b"}}, 10, rolledBack},
+		"an entry that starts late":  {[]read{{12, "v2", d, done, 10, "a"}}, 10, done},
+		"recorded by an older build": {[]read{{10, "v2", d, open, 0, ""}, {12, "v2", d, done, 0, "a"}}, 10, done},
+		"an older build's result, then another order": {[]read{
+			{10, "v2", d, done, 0, "a"}, {20, "v1", d, open, 0, "a"}, {21, "v2", d, done, 0, "a"},
+		}, 21, open},
+		"the store comes back from a copy": {[]read{
+			{10, "v2", d, open, 0, ""}, {11, "v2", d, done, 10, "a"}, {sequoiasill.StoreVersion(1, 11), "v2", d, done, 10, "a"},
+		}, 10, done},
+		"the store comes back from a copy from before the order": {[]read{
+			{10, "v2", d, open, 0, ""}, {11, "v2", d, done, 10, "a"}, {20, "v1", d, open, 0, "a"}, {sequoiasill.StoreVersion(1, 11), "v2", d, done, 10, "a"},
+		}, sequoiasill.StoreVersion(1, 11), open},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := sequoiasill.NewSystemClock()
+			r := &Roller{clock: clock, log: hclog.NewNullLogger(), orders: make(map[string]order)}
+			r.shifter = shifter.New("e1", clock, r, r.log)
+			for _, x := range tc.reads {
+				ro := sequoiasill.Rollout{Service: "s", Target: x.target, Duration: x.duration, Revision: x.revision, State: x.state, Order: x.order, Stored: x.stored}
+				ro.Recorded = x.state != open || x.order > 0
+				r.setOrder(order{Rollout: ro, fromStore: true, startedAt: 1000}, "store")
+			}
+			if diff := cmp.Diff(tc.wantOrder, r.orders["s"].Order); diff != "" {
+				t.Errorf("order (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tc.wantEnd, r.Moves()["s"].End); diff != "" {
+				t.Errorf("end (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// What entries told about an earlier order does not count for a later one of the same version: its
+// status, a brake, and evidence.
+func TestFactsOfAnEarlierOrderDoNotCount(t *testing.T) {
+	clock := sequoiasill.NewSystemClock()
+	r := &Roller{clock: clock, log: hclog.NewNullLogger(), orders: make(map[string]order)}
+	r.shifter = shifter.New("e1", clock, r, r.log)
+	r.setOrder(order{Rollout: sequoiasill.Rollout{Service: "s", Target: "v2", Duration: 15_000, Revision: 30}, fromStore: true}, "store")
+	status := func(order uint64, end sequoiasill.MoveEnd) []byte {
+		b, err := encoder.EncodeStatus(sequoiasill.MoveStatus{Move: "s-v2", Order: order, Share: 950, End: end})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	samples := func(order uint64) []byte {
+		b, err := reporter.EncodeSamples(map[string]mover.Sample{"read": {}}, order)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	r.HandleFact(gossiper.Fact{Key: "move/s-v2", Version: 12, Value: status(10, sequoiasill.MoveDone)})
+	r.HandleFact(gossiper.Fact{Key: "move/s-v2", Version: 12, Value: status(0, sequoiasill.MoveDone)})
+	r.HandleFact(gossiper.Fact{Key: "brake/s-v2", Version: 10, Value: []byte("errors")})
+	r.HandleFact(gossiper.Fact{Key: "evidence/s-v2/e2", Version: 1, Value: samples(10)})
+	r.HandleFact(gossiper.Fact{Key: "evidence/s-v2/e3", Version: 1, Value: samples(30)})
+	report := r.shifter.Reports()[0]
+	want := reporter.Report{Move: r.orders["s"].move(), Entries: map[string]map[string]mover.Sample{"e3": {"read": {}}}}
+	if diff := cmp.Diff(want, report); diff != "" {
+		t.Errorf("report (-want +got):\n%s", diff)
+	}
+	r.HandleFact(gossiper.Fact{Key: "move/s-v2", Version: 31, Value: status(30, sequoiasill.MoveRolledBack)})
+	if diff := cmp.Diff(sequoiasill.MoveRolledBack, r.Moves()["s"].End); diff != "" {
+		t.Errorf("end (-want +got):\n%s", diff)
+	}
+}
+
 // Upstreams of a version that the service has moved off receive no calls.
 func TestSupersededUpstreams(t *testing.T) {
 	old := sequoiasill.Replica{Service: "s", Version: "v1", StartedAt: 500}
--- a/replica.go
+++ b/replica.go
@@ -78,6 +78,12 @@
 	Revision uint64  // store version
 	State    MoveEnd // state in the store
 	Recorded bool    // a state has been recorded in the store
+	// Order identifies the order among those of its service: the store version at which it was first
+	// seen. It is 0 if that is not known, as for orders that an older build recorded.
+	Order uint64
+	// Stored is the status in the store as it was read, empty if there is none. A rewritten order keeps
+	// the status of the one before.
+	Stored string
 	// InUse is the version that the service ran when it was ordered, empty if that is not known.
 	InUse string
 	// Rejected is the target of the order before, if that was not completed.
