Dispatcher: a stalled call is given up only once another entry accepts it

Cause: attempts were cancelled when there was an entry to ask, not when one had accepted; the others refused, as their paths were in doubt too. Then a given-up call was ended as a whole stream would not fit into the rest of the stop, 0.3 s before the paths were restored (log in the postmortem).

Change: the call of a stalled attempt is offered while the attempt goes on, and the attempt cancelled once an entry accepts. After a given-up attempt, further ones are made until the calls end.

Tests, before: TestSilentUpstreamKeepsItsCallUntilAnEntryAcceptsIt 504 instead of the response, TestStreamThatWasGivenUpGoesOnInAPlannedStop cut. After: both pass, also with -race. TestCallThatWaitsIsAnsweredBeforeTheEntryEnds expected 502, the status of giving up early; the call now waits until the calls end and gets 504. Both say that it may have run, and it must still end before the entry.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -51,6 +51,7 @@
 	last             bool               // the call may not be retried after this attempt
 	permit           *throttler.Permit  // nil if the upstream has no rate limit
 	lastData         sequoiasill.Millis // when the response last made progress; guarded by the dispatcher's lock
+	offering         bool               // the call is being offered to other entries; guarded by the dispatcher's lock
 	maybeSent        bool               // part of the request may have been sent
 	cancel           context.CancelCauseFunc
 }
@@ -126,7 +127,7 @@
 // drain, to pause or to limit its calls since it was chosen, a part of the call's prompt may have been
 // quarantined, or this entry may shut down too soon.
 func (t *try) maySend() bool {
-	if t.d.screen(t.job) != nil || t.d.checkShutdown(t.job) != nil {
+	if t.d.screen(t.job) != nil || t.d.checkFurtherAttempt(t.job) != nil {
 		t.withheld = true
 		return false
 	}
--- a/relay/dispatcher/attempttimeout.go
+++ b/relay/dispatcher/attempttimeout.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 )
 
@@ -57,7 +58,7 @@
 }
 
 // check cancels the attempt if there is an untried upstream and the retry budget allows a
-// retry, which it then takes. Otherwise it schedules another check, and the first time reports
+// retry, which it then takes. If this entry reaches no upstream, it offers the call to other entries. Otherwise it schedules another check, and the first time reports
 // the call to the registrar as overdue. It does nothing if too little time is left for another
 // attempt.
 func (g *attemptTimer) check() {
@@ -68,7 +69,11 @@
 	if g.stopped || d.callEnd(t.job)-now < g.timeout || d.checkShutdown(t.job) != nil {
 		return
 	}
-	if !d.hasAlternative(now, t.job) || !g.takeRetry(now) {
+	unreachable := d.paths.State(t.service) == pathmonitor.Unreachable
+	if unreachable {
+		d.offerLater(t)
+	}
+	if unreachable || !d.hasAlternative(now, t.job) || !g.takeRetry(now) {
 		if !g.overdue {
 			g.overdue = true
 			d.registrar.CallOverdue(now, t.choice.Replica.Name)
--- a/relay/dispatcher/await.go
+++ b/relay/dispatcher/await.go
@@ -20,7 +20,7 @@
 // mayAwait reports whether a call may wait for another attempt: its upstream did not fail but was silent until
 // the attempt was given up, and the caller cannot be told that the call has not run.
 func (d *Dispatcher) mayAwait(j *job) bool {
-	return j.gaveUp && j.runs > 0 && !j.relayed && j.fallback == nil && d.checkShutdown(j) == nil
+	return j.gaveUp && j.runs > 0 && !j.relayed && j.fallback == nil
 }
 
 // awaitUpstream waits for a moment if a call found no upstream only because some do not respond, and reports
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -14,13 +14,14 @@
 	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
 	"sequoiasill.dev/sequoiasill/decide/peerpicker"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
-	"sequoiasill.dev/sequoiasill/decide/registrar"
 )
 
 // Relays lets other entries serve calls whose upstreams this entry does not reach.
 type Relays interface {
 	// Pick returns an untried entry that may reach the upstreams of a service.
 	Pick(service string, tried map[string]bool) (peerpicker.Peer, bool)
+	// Offer asks an entry whether it would serve a call now, and waits only a short time for its answer.
+	Offer(p peerpicker.Peer, c RelayedCall) bool
 	// Send lets an entry serve a call. Its errors carry a verdict, see Verdict; a RefusalError is the
 	// entry's own.
 	Send(ctx context.Context, p peerpicker.Peer, c RelayedCall) (*Response, error)
@@ -67,6 +68,9 @@
 	if j.relayed || len(j.triedPeers) >= d.opts.MaxRelays {
 		return nil, false
 	}
+	if p := j.acceptedBy; p != nil && !j.triedPeers[p.Name] {
+		return p, true
+	}
 	p, ok := d.relays.Pick(j.service, j.triedPeers)
 	return &p, ok
 }
@@ -288,32 +292,6 @@
 	t.lastData = t.d.clock.Now()
 }
 
-// stalledTime is how long an attempt must have made no progress to be moved to another entry when
-// this one loses its paths. Connections may live on while new ones fail.
-const stalledTime = 400 * sequoiasill.Millis(1)
-
-// PathsLost cancels the attempts at a service that do not progress any more, now that this entry
-// reaches no upstream of it, if their calls may be retried after this attempt and the retry budget allows it.
-func (d *Dispatcher) PathsLost(service string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.Now()
-	for t := range d.tries {
-		if t.service != service || t.last || now-t.lastData < stalledTime || d.checkShutdown(t.job) != nil {
-			continue
-		}
-		if _, ok := d.pickRelay(t.job); ok && d.rationer.TakeRepeat(now, t.retryBudget) {
-			t.cancel(errAttemptTimeout)
-		}
-	}
-}
-
-// PathsRestored gives the upstreams of a service that this entry reaches again a fresh start: their
-// failed connects were due to the paths.
-func (d *Dispatcher) PathsRestored(service string) {
-	d.WithRegistrar(func(r *registrar.Registrar) { r.ForgetUnreachable(service) })
-}
-
 // pathBreak is a connection that broke under an attempt.
 type pathBreak struct {
 	upstream string
--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -105,9 +105,19 @@
 	return peerpicker.Peer{}, false
 }
 
+// Offer implements dispatcher.Relays. An entry without an upstream does not accept calls.
+func (r *fakeRelays) Offer(peerpicker.Peer, dispatcher.RelayedCall) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.steps[min(len(r.calls), len(r.steps)-1)]
+	return s.refusal == nil || s.refusal.Code != sequoiasill.CodeNoUpstream || s.runs+s.arrivals > 0
+}
+
 func (r *fakeRelays) Send(ctx context.Context, _ peerpicker.Peer, c dispatcher.RelayedCall) (*dispatcher.Response, error) {
+	r.mu.Lock()
 	s := r.steps[min(len(r.calls), len(r.steps)-1)]
 	r.calls = append(r.calls, c)
+	r.mu.Unlock()
 	select {
 	case <-ctx.Done():
 		return nil, sendError{v: sequoiasill.MayHaveRun}
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -12,7 +12,6 @@
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/partblamer"
-	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
 	"sequoiasill.dev/sequoiasill/decide/peerpicker"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
@@ -35,13 +34,14 @@
 	retryBudget    *rationer.Call
 
 	tried      map[string]bool
-	triedPeers map[string]bool // entries to which the call was offered
-	relayed    bool            // another entry relayed the call
-	notSent    int             // upstreams to which no connection could be made
-	unanswered []string        // tried upstreams to which no connection could be made, or whose attempts were given up
-	gaveUp     bool            // an attempt that may have been sent was cancelled for want of a response
-	awaited    bool            // the call has waited for an upstream
-	arrivals   int             // upstreams that the call reached
+	triedPeers map[string]bool  // entries to which the call was offered
+	acceptedBy *peerpicker.Peer // entry that accepts the call; set under the dispatcher's lock while an attempt is in progress
+	relayed    bool             // another entry relayed the call
+	notSent    int              // upstreams to which no connection could be made
+	unanswered []string         // tried upstreams to which no connection could be made, or whose attempts were given up
+	gaveUp     bool             // an attempt that may have been sent was cancelled for want of a response
+	awaited    bool             // the call has waited for an upstream
+	arrivals   int              // upstreams that the call reached
 	// arrivalsElsewhere are those of them that it reached from the entry that relayed it, which took a repeat for
 	// one more arrival.
 	arrivalsElsewhere int
@@ -207,7 +207,7 @@
 			d.finishRefused(ctx, j, failure)
 			return
 		}
-		if failure := d.checkShutdown(j); failure != nil {
+		if failure := d.checkFurtherAttempt(j); failure != nil {
 			d.finishRefused(ctx, j, failure)
 			return
 		}
@@ -335,13 +335,9 @@
 	}, candidates)
 }
 
-// hasAlternative reports whether there is an untried upstream that needs no permit, or another entry
-// if this one reaches no upstream. The caller holds the lock.
+// hasAlternative reports whether there is an untried upstream that needs no permit. The caller holds
+// the lock.
 func (d *Dispatcher) hasAlternative(now sequoiasill.Millis, j *job) bool {
-	if d.paths.State(j.service) == pathmonitor.Unreachable {
-		_, ok := d.pickRelay(j)
-		return ok
-	}
 	_, ok := d.chooseFrom(j, unlimited(d.candidatesForVersion(j, d.registrar.Candidates(now, j.service))))
 	return ok
 }
--- a/relay/dispatcher/shutdown.go
+++ b/relay/dispatcher/shutdown.go
@@ -95,6 +95,16 @@
 	return leaving("entry shuts down in %s, the call is expected to take %s (%s)", left, expected, basis)
 }
 
+// checkFurtherAttempt returns the refusal of an attempt that the shutdown would probably break off, unless
+// the call was given up at an upstream that was silent: another attempt needs only the rest of its
+// response, and the call cannot be refused as not run.
+func (d *Dispatcher) checkFurtherAttempt(j *job) *sequoiasill.Failure {
+	if j.gaveUp {
+		return nil
+	}
+	return d.checkShutdown(j)
+}
+
 // expectedDuration returns the duration that an attempt is expected to stay within, and what that is
 // based on. A stream that has begun cannot be given another answer, so all streams must have stayed
 // within it.
--- a/relay/relayer/client.go
+++ b/relay/relayer/client.go
@@ -126,6 +126,20 @@
 	return response, nil
 }
 
+// Offer implements dispatcher.Relays.
+func (c *Client) Offer(p peerpicker.Peer, call dispatcher.RelayedCall) bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	_, err := c.offer(ctx, cancel, p, call)
+	if err != nil {
+		c.log.Debug("offer not accepted", "by", p.Name, "service", call.Service, "error", err)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.picker.NotAccepted(c.clock.Now(), p.Name, call.Service)
+	}
+	return err == nil
+}
+
 // offer offers a call to an entry and waits until it accepts.
 func (c *Client) offer(ctx context.Context, cancel func(), p peerpicker.Peer, call dispatcher.RelayedCall) (relaypb.Relay_ServeClient, error) {
 	timer := time.AfterFunc(acceptTimeout, cancel)
