Forwarder: a body without end is cut off

What another operator's callers saw: a replica sends bytes without end, the process that called it runs out of memory, and all its requests end. Here it could happen in the product's own way (sequoia-router).

Cause: entry/forwarder kept the body of a call or of a control request to its end; a time limit does not bound a fast sender.

Test, before: TestBodyWithoutEndIsCutOff,  bytes taken in 6 of 6 cases, the body delivered in two. After: passes.

--- a/cmd/internal/apiclient/apiclient.go
+++ b/cmd/internal/apiclient/apiclient.go
@@ -107,6 +107,9 @@
 	}
 }
 
+// maxResponseBytes bounds what is kept of a response.
+const maxResponseBytes = 64 << 20
+
 // Call sends a request, follows redirects and reads the whole response.
 func (c *Client) Call(method, path string, body []byte, headers map[string]string) (Response, error) {
 	resp, err := c.request(method, path, body, headers)
@@ -115,7 +118,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	out := responseFrom(resp)
-	out.Body, err = io.ReadAll(resp.Body)
+	out.Body, err = io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	return out, errors.Trace(err)
 }
 
@@ -189,7 +192,7 @@
 		s.response = responseFrom(resp)
 	}
 	if resp.StatusCode != http.StatusOK {
-		b, _ := io.ReadAll(resp.Body)
+		b, _ := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 		if s.lastID != "" {
 			return false, errors.Errorf("reconnection got status %d: %s", resp.StatusCode, b)
 		}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"io"
 	"net"
 	"time"
@@ -27,8 +28,14 @@
 type Options struct {
 	DialTimeout  sequoiasill.Millis
 	StallTimeout sequoiasill.Millis // max time without data from an upstream within a stream
+	// MaxResponseBytes bounds the body of a response that is not a stream, 0 for
+	// DefaultMaxResponseBytes.
+	MaxResponseBytes int
 }
 
+// DefaultMaxResponseBytes is the default bound of a body in bytes.
+const DefaultMaxResponseBytes = 4 << 20
+
 // Forwarder sends requests. It is safe for concurrent use.
 type Forwarder struct {
 	opts      Options
@@ -47,6 +54,7 @@
 
 // New returns a Forwarder.
 func New(opts Options) *Forwarder {
+	opts.MaxResponseBytes = cmp.Or(opts.MaxResponseBytes, DefaultMaxResponseBytes)
 	f := &Forwarder{opts: opts, callConns: newConnSet()}
 	f.stream = f.newClient(f.dialWithReadTimeout)
 	f.control = f.newClient(f.dial)
@@ -199,7 +207,7 @@
 	if echoedID := resp.Header.Peek(RequestIDHeader); len(echoedID) > 0 && string(echoedID) != string(c.RequestID) {
 		return Response{}, &AttemptError{Verdict: sequoiasill.MayHaveRun, Err: errors.Errorf("response belongs to request %s", echoedID)}
 	}
-	body, err := io.ReadAll(resp.BodyStream())
+	body, err := f.readBody(resp)
 	if err != nil {
 		return Response{}, &AttemptError{Verdict: sequoiasill.MayHaveRun, Err: err}
 	}
@@ -213,6 +221,16 @@
 	return Response{Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType()), Body: body}, nil
 }
 
+// readBody reads the body of a response. One that is too long ends its connection.
+func (f *Forwarder) readBody(resp *fasthttp.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), int64(f.opts.MaxResponseBytes)+1))
+	if err == nil && len(body) > f.opts.MaxResponseBytes {
+		resp.SetConnectionClose()
+		err = errors.Errorf("body is longer than %d bytes", f.opts.MaxResponseBytes)
+	}
+	return body, err
+}
+
 // untilClose is the content length of a response that ends with its connection.
 const untilClose = -2
 
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -84,3 +86,55 @@
 		t.Errorf("error %v after %s", attemptErr, took)
 	}
 }
+
+// Guards against processes that run out of memory: the body of a response without end was kept as a whole.
+func TestBodyWithoutEndIsCutOff(t *testing.T) {
+	const limit, offered, block = 1 << 20, 256 << 20, 64 << 10
+	// What the connection's buffers hold comes on top of the limit.
+	const most = limit + 32<<20
+	heads := map[string]string{
+		"in chunks":       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"with a length":   "HTTP/1.1 200 OK\r\nContent-Length: 1099511627776\r\n\r\n",
+		"until it closes": "HTTP/1.1 200 OK\r\n\r\n",
+	}
+	senders := map[string]func(f *Forwarder, address string) error{
+		"call": func(f *Forwarder, address string) error {
+			if _, err := f.Do(Call{Address: address, Method: http.MethodGet, URI: "/", RequestID: "1", Timeout: 20 * sequoiasill.Second}); err != nil {
+				return err
+			}
+			return nil
+		},
+		"control request": func(f *Forwarder, address string) error {
+			_, err := f.Control(http.MethodGet, address, "/", nil, 20*sequoiasill.Second)
+			return err
+		},
+	}
+	for framing, head := range heads {
+		for name, send := range senders {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				sent := make(chan int, 1)
+				l := respondOnce(t, func(_ net.Listener, c net.Conn) {
+					n := 0
+					defer func() { sent <- n }()
+					_, err := io.WriteString(c, head)
+					for err == nil && n < offered {
+						part := strings.Repeat("x", block)
+						if framing == "in chunks" {
+							part = fmt.Sprintf("%x\r\n%s\r\n", block, part)
+						}
+						if _, err = io.WriteString(c, part); err == nil {
+							n += block
+						}
+					}
+				})
+				f := New(Options{DialTimeout: sequoiasill.Second, StallTimeout: sequoiasill.Second, MaxResponseBytes: limit})
+				if err := send(f, l.Addr().String()); err == nil {
+					t.Error("the body was delivered")
+				}
+				if n := <-sent; n > most {
+					t.Errorf("%d bytes of the body were taken, %d are allowed", n, most)
+				}
+			})
+		}
+	}
+}
