Leaser: the epoch of a new holder counts from the store's era 0 as well

Cause: a record of era 0 was taken for one without an era, and the next epoch left out the numbers of the era.

Change: the addition for each era counts from 0.

Test, before: TestEpochsOfLostRecordsAreNotUsedAgain, epoch 6 instead of 70 and 198 in 3 of 6 cases.

--- a/decide/leaser/era_test.go
+++ b/decide/leaser/era_test.go
@@ -179,3 +179,35 @@
 		t.Error("no violation was found")
 	}
 }
+
+// Guards against ONE: a holder that started after the store came back from a copy for the first time, and so had
+// seen no change of the era, used epochs that lost records had had.
+func TestEpochsOfLostRecordsAreNotUsedAgain(t *testing.T) {
+	for name, tc := range map[string]struct{ written, now, want uint64 }{
+		"the same era":               {0, 0, 6},
+		"the first return":           {0, 1, 6 + epochsPerEra},
+		"the third return":           {0, 3, 6 + 3*epochsPerEra},
+		"a later return":             {2, 3, 6 + epochsPerEra},
+		"a record of this era":       {3, 3, 6},
+		"a record of an older build": {0, 3, 6 + 3*epochsPerEra},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := New("b", DefaultOptions())
+			l.SetEra(tc.now)
+			var got uint64
+			for now, ev := sequoiasill.Millis(0), Event(nil); now < 20*sequoiasill.Second && got == 0; now += 100 {
+				switch a := l.Step(now, ev).(type) {
+				case ReadRecord:
+					ev = ReadDone{Version: sequoiasill.StoreVersion(tc.now, 9), Record: Record{Holder: "a", Epoch: 5, Era: tc.written}}
+				case WriteRecord:
+					got = a.Record.Epoch
+				default:
+					ev = nil
+				}
+			}
+			if got != tc.want {
+				t.Errorf("epoch %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/decide/leaser/leaser.go
+++ b/decide/leaser/leaser.go
@@ -282,7 +282,7 @@
 		return max(l.era%eraCycle*epochsPerEra+1, l.minEpoch)
 	}
 	epoch := l.lastRecord.Epoch + 1
-	if l.lastRecord.Era > 0 && l.era > l.lastRecord.Era {
+	if l.era > l.lastRecord.Era {
 		epoch += epochsPerEra * (l.era - l.lastRecord.Era)
 	}
 	return max(epoch, l.minEpoch)
