--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -51,6 +51,7 @@
 	last             bool               // the call may not be retried after this attempt
 	permit           *throttler.Permit  // nil if the upstream has no rate limit
 	lastData         sequoiasill.Millis // when the response last made progress; guarded by the dispatcher's lock
+	patience         sequoiasill.Millis // without progress, after which the call may be moved to another entry; guarded by the dispatcher's lock
 	offering         bool               // the call is being offered to other entries; guarded by the dispatcher's lock
 	maybeSent        bool               // part of the request may have been sent
 	cancel           context.CancelCauseFunc
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -276,7 +276,7 @@
 func (t *try) track() (end func()) {
 	t.d.mu.Lock()
 	defer t.d.mu.Unlock()
-	t.lastData = t.started
+	t.lastData, t.patience = t.started, stalledTime
 	t.d.tries[t] = true
 	return func() {
 		t.d.mu.Lock()
--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -503,3 +503,22 @@
 		t.Error("a repeat is allowed that no call of this entry paid for")
 	}
 }
+
+// An attempt whose response is overdue goes to another entry without waiting longer, once no upstream is
+// reached.
+func TestOverdueAttemptIsRelayedWhenPathsAreLost(t *testing.T) {
+	c, u := &fakeTransport{steps: []step{{hang: true}}}, &fakePeers{usageCounts: make(map[string]int)}
+	paths, relays := &fakePaths{}, &fakeRelays{entries: 1, steps: []relayStep{{status: 200, body: "relayed", runs: 2}}}
+	d := newRelayingDispatcher(t, c, u, paths, relays)
+	losePaths(d, paths, 50*time.Millisecond)
+	var got reply
+	began := time.Now()
+	d.Serve(context.Background(), call("/read/x", "key"), &got)
+	if diff := cmp.Diff(reply{Status: 200, Body: "relayed", Ended: true}, got); diff != "" {
+		t.Errorf("response (-want +got):\n%s", diff)
+	}
+	// Attempts of this route time out after 150 ms.
+	if took := time.Since(began); took > 350*time.Millisecond {
+		t.Errorf("answered after %s", took)
+	}
+}
--- a/relay/dispatcher/stalled.go
+++ b/relay/dispatcher/stalled.go
@@ -12,7 +12,8 @@
 
 const (
 	// stalledTime is how long an attempt must have made no progress to be moved to another entry when
-	// this one loses its paths. Connections may live on while new ones fail.
+	// this one loses its paths, unless its response is overdue before. Connections may live on while new
+	// ones fail.
 	stalledTime = 400 * sequoiasill.Millis(1)
 	// offerInterval is the interval of offers of a stalled call that no entry accepts.
 	offerInterval = 200 * time.Millisecond
@@ -37,7 +38,7 @@
 // mayMove reports whether the call of an attempt may be retried elsewhere as the attempt does not
 // progress. The caller holds the lock.
 func (d *Dispatcher) mayMove(now sequoiasill.Millis, t *try) bool {
-	return d.tries[t] && !t.last && now-t.lastData >= stalledTime && d.checkShutdown(t.job) == nil
+	return d.tries[t] && !t.last && now-t.lastData >= t.patience && d.checkShutdown(t.job) == nil
 }
 
 // offerLater offers the call of a stalled attempt to other entries, unless that is in progress. The caller
