--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -70,7 +70,9 @@
 // brake is a stop of a move because of a regression.
 type brake struct {
 	reason string
-	order  uint64 // of the move, or of a later one
+	// order is that of the move. Older builds tell the generation of their configuration instead, which
+	// is not below it.
+	order uint64
 }
 
 // evidence is what another entry measured of a move.
@@ -239,6 +241,7 @@
 		if !ok || s.status(m).End != sequoiasill.MoveOpen {
 			continue
 		}
+		// Moves without an order are told apart by the configuration that declares them.
 		o := outgoing{move: m.Name, order: cmp.Or(m.Order, s.generation)}
 		if s.brakeReason(m) == "" {
 			o.brake = t.evaluate()
--- a/relay/dispatcher/attempttimeout.go
+++ b/relay/dispatcher/attempttimeout.go
@@ -72,7 +72,7 @@
 	unreachable := d.paths.State(t.service) == pathmonitor.Unreachable
 	if unreachable {
 		t.patience = min(t.patience, g.timeout)
-		d.offerLater(t)
+		d.startOffering(t)
 	}
 	if unreachable || !d.hasAlternative(now, t.job) || !g.takeRetry(now) {
 		if !g.overdue {
--- a/relay/dispatcher/stalled.go
+++ b/relay/dispatcher/stalled.go
@@ -30,7 +30,7 @@
 	defer d.mu.Unlock()
 	for t := range d.tries {
 		if t.service == service && d.mayMove(d.clock.Now(), t) {
-			d.offerLater(t)
+			d.startOffering(t)
 		}
 	}
 }
@@ -41,9 +41,9 @@
 	return d.tries[t] && !t.last && now-t.lastData >= t.patience && d.checkShutdown(t.job) == nil
 }
 
-// offerLater offers the call of a stalled attempt to other entries, unless that is in progress. The caller
-// holds the lock.
-func (d *Dispatcher) offerLater(t *try) {
+// startOffering begins to offer the call of a stalled attempt to other entries, unless it is being
+// offered or another entry relayed it here. The caller holds the lock.
+func (d *Dispatcher) startOffering(t *try) {
 	if t.offering || t.relayed {
 		return
 	}
--- a/relay/roller/roller.go
+++ b/relay/roller/roller.go
@@ -72,7 +72,7 @@
 	self     string
 	peers    func() Peers // returns nil until the other entries are known
 	recorder Recorder
-	versions func(service string) []string
+	versions func(service string) []string // of its upstreams
 	clock    sequoiasill.Clock
 	log      hclog.Logger
 	shifter  *shifter.Shifter
