Roller: the outcome of an order is read by Moves; one constructor in its tests

Found by reading the change once more: outcome searched the reports of all moves for what Moves already returns by service, and five tests built the same Roller. Behaviour and assertions are as they were: a service has one move, that of its current order.

--- a/relay/roller/orders.go
+++ b/relay/roller/orders.go
@@ -151,12 +151,7 @@
 	if o.State != sequoiasill.MoveOpen {
 		return o.State
 	}
-	for _, report := range r.shifter.Reports() {
-		if report.Move.Name == o.move().Name {
-			return report.Status.End
-		}
-	}
-	return sequoiasill.MoveOpen
+	return r.Moves()[o.Service].End
 }
 
 // onlyRunning returns the version that the service ran when it was ordered, if its upstreams had
--- a/relay/roller/roller_test.go
+++ b/relay/roller/roller_test.go
@@ -14,6 +14,13 @@
 	"sequoiasill.dev/sequoiasill/entry/shifter"
 )
 
+// newRoller returns a Roller of an entry that neither evaluates nor records its moves.
+func newRoller(entry string) *Roller {
+	r := &Roller{clock: sequoiasill.NewSystemClock(), log: hclog.NewNullLogger(), orders: make(map[string]order)}
+	r.shifter = shifter.New(entry, r.clock, r, r.log)
+	return r
+}
+
 // The outcome of a move is recorded in the order before its deadline. It is decided at the
 // first evaluation after EndAt and recorded at the next evaluation or shortly after.
 func TestEndOfAMoveIsRecordedBeforeItsDeadline(t *testing.T) {
@@ -91,9 +98,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			clock := sequoiasill.NewSystemClock()
-			r := &Roller{clock: clock, log: hclog.NewNullLogger(), orders: make(map[string]order)}
-			r.shifter = shifter.New("e1", clock, r, r.log)
+			r := newRoller("e1")
 			for i, o := range tc.orders {
 				o.Revision = uint64(i + 1)
 				r.setOrder(o, "store")
@@ -105,8 +110,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			other := &Roller{clock: clock, log: hclog.NewNullLogger(), orders: make(map[string]order)}
-			other.shifter = shifter.New("e2", clock, other, other.log)
+			other := newRoller("e2")
 			other.HandleFact(gossiper.Fact{Key: orderPrefix + "s", Version: 9, Value: told})
 			if diff := cmp.Diff(tc.want, other.Assign("s", "call")); diff != "" {
 				t.Errorf("assignment at another entry (-want +got):\n%s", diff)
@@ -159,9 +163,7 @@
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			clock := sequoiasill.NewSystemClock()
-			r := &Roller{clock: clock, log: hclog.NewNullLogger(), orders: make(map[string]order)}
-			r.shifter = shifter.New("e1", clock, r, r.log)
+			r := newRoller("e1")
 			for _, x := range tc.reads {
 				ro := sequoiasill.Rollout{Service: "s", Target: x.target, Duration: x.duration, Revision: x.revision, State: x.state, Order: x.order, Stored: x.stored}
 				ro.Recorded = x.state != open || x.order > 0
@@ -180,9 +182,7 @@
 // What entries told about an earlier order does not count for a later one of the same version: its
 // status, a brake, and evidence.
 func TestFactsOfAnEarlierOrderDoNotCount(t *testing.T) {
-	clock := sequoiasill.NewSystemClock()
-	r := &Roller{clock: clock, log: hclog.NewNullLogger(), orders: make(map[string]order)}
-	r.shifter = shifter.New("e1", clock, r, r.log)
+	r := newRoller("e1")
 	r.setOrder(order{Rollout: sequoiasill.Rollout{Service: "s", Target: "v2", Duration: 15_000, Revision: 30}, fromStore: true}, "store")
 	status := func(order uint64, end sequoiasill.MoveEnd) []byte {
 		b, err := encoder.EncodeStatus(sequoiasill.MoveStatus{Move: "s-v2", Order: order, Share: 950, End: end})
@@ -230,9 +230,7 @@
 		"done":           {sequoiasill.MoveDone, []bool{true, false, false, false}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			clock := sequoiasill.NewSystemClock()
-			r := &Roller{clock: clock, log: hclog.NewNullLogger(), orders: make(map[string]order)}
-			r.shifter = shifter.New("e1", clock, r, r.log)
+			r := newRoller("e1")
 			r.setOrder(order{
 				Rollout: sequoiasill.Rollout{Service: "s", Target: "v2", Duration: 15_000, Revision: 1, State: tc.state}, startedAt: 1000,
 			}, "store")
