Allotter: urgent and small calls go first while an organisation asks for more than its quota

Cause: while one organisation sends many times its quota, its calls were admitted in order of arrival, so that urgent calls were refused as often as those that matter least.

--- a/decide/allotter/allotter.go
+++ b/decide/allotter/allotter.go
@@ -8,6 +8,9 @@
 // limited, too. Nothing is admitted while the bucket is overdrawn by more than a fraction of the
 // burst.
 //
+// While an organisation asks for clearly more than its quota, urgent calls and small ones are admitted
+// before the others, see precedence.go.
+//
 // An Allotter is a state machine without I/O. It is designed for a load in which one
 // organisation sends many times its normal traffic, and for one in which each of many
 // entries receives few, large calls.
@@ -78,6 +81,7 @@
 	demand      float64 // demand at this entry in tokens per second
 	spent       float64 // tokens admitted at this entry
 	borrowed    float64 // tokens admitted beyond this entry's share since the last sum
+	reserve     float64 // tokens of this entry's share that are kept for small calls
 
 	bucket bucket
 }
@@ -207,6 +211,12 @@
 // retry. A call may overdraw a share that is not empty, as a single call can be larger
 // than the share of a small organisation.
 func (a *Allotter) Take(now sequoiasill.Millis, acc *sequoiasill.Account, cost float64) (wait sequoiasill.Millis, ok bool) {
+	return a.take(now, acc, cost, 0)
+}
+
+// take admits a call if this entry's share holds more than floor tokens, or if it needs no tokens of
+// this share.
+func (a *Allotter) take(now sequoiasill.Millis, acc *sequoiasill.Account, cost, floor float64) (wait sequoiasill.Millis, ok bool) {
 	if acc.RatePerSec <= 0 {
 		return 0, true
 	}
@@ -220,11 +230,13 @@
 		own := min(max(s.level, 0), cost)
 		s.level -= own
 		s.borrowed += cost - own
-	case s.level > 0:
+	case s.level > floor:
 		s.level -= cost
+	case a.isSmall(acc, cost) && s.reserve >= cost:
+		s.reserve -= cost
 	default:
 		rate := a.rate(acc) * a.fraction(acc.Name)
-		return sequoiasill.ClampDuration(-s.level/rate, sequoiasill.Second) + 1, false
+		return sequoiasill.ClampDuration((floor-s.level)/rate, sequoiasill.Second) + 1, false
 	}
 	s.spent += cost
 	return 0, true
@@ -292,7 +304,9 @@
 			s.level = capacity
 		}
 	}
-	s.level = min(s.level+elapsed*a.rate(acc)*a.fraction(acc.Name), capacity)
+	refill := elapsed * a.rate(acc) * a.fraction(acc.Name)
+	refill -= s.refillReserve(refill, capacity)
+	s.level = min(s.level+refill, capacity-s.reserve)
 	s.bucket.refill(elapsed, a.rate(acc), acc.Burst, a.startFull)
 	return s
 }
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -25,6 +25,7 @@
 	account        *sequoiasill.Account // nil if the route needs no key
 	service        string
 	engine         bool
+	lessUrgent     bool   // other routes to the service have a higher priority
 	trafficVersion uint64 // version of the traffic rules that apply to the call
 	reply          ResponseWriter
 	deadline       sequoiasill.Millis
@@ -129,6 +130,7 @@
 		}
 	}
 	j.service = route.ServiceFor(xxhash.Sum64String(call.ID))
+	j.lessUrgent = route.Priority > t.HighestPriority(j.service)
 	if s, ok := t.Service(j.service); ok {
 		j.engine = s.Engine != nil
 	}
@@ -170,7 +172,11 @@
 		return 0, true
 	}
 	if j.account != nil {
-		if wait, ok := d.allotter.Take(now, j.account, j.account.Cost(j.call.Prompt)); !ok {
+		take := d.allotter.Take
+		if j.lessUrgent {
+			take = d.allotter.TakeLessUrgent
+		}
+		if wait, ok := take(now, j.account, j.account.Cost(j.call.Prompt)); !ok {
 			d.log.Debug("allowance is spent", "request", j.call.ID, "organisation", j.account.Name,
 				"rate", j.account.RatePerSec, "share", d.allotter.Share(now, j.account))
 			return wait, false
