Admitter: refuses calls whose refusal costs least while upstreams are saturated

Urgent calls were rejected since less urgent ones filled the queues of all upstreams. The dispatcher asks the admitter once per call after the quota, and undoes the charge of a call that it refuses.

--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -45,6 +45,8 @@
 	timeToFirstEvent sequoiasill.Millis // since the start of the attempt, 0 until the first event
 	withheld         bool               // the upstream became unavailable to the call before the send
 	limit            registrar.Limit    // rate limit that the response carries
+	load             registrar.Load     // load that the response reports if hasLoad is set
+	hasLoad          bool
 	pathBroke        bool               // the end of the attempt may be due to the path to the upstream
 	untilClose       bool               // the response has no framing and ends with its connection
 	relay            bool               // another entry serves the call
@@ -148,6 +150,7 @@
 	t.d.recordAttemptEnd(t.choice, t.prefill, outcome)
 	t.prefill = 0
 	took := t.d.clock.Now() - t.started
+	t.recordHold(outcome, took)
 	t.d.meter.Attempted(result, took)
 	if t.untilClose {
 		t.d.meter.UnframedEnded(result)
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/admitter"
 	"sequoiasill.dev/sequoiasill/decide/allotter"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
@@ -152,6 +153,10 @@
 // Meter counts events in the dispatcher.
 type Meter interface {
 	Refused(code sequoiasill.Code)
+	// AdmissionRefused counts a call that was refused as the upstreams of its service are saturated, by
+	// the rank of its priority there. AdmissionPressure publishes the waiting calls per slot.
+	AdmissionRefused(service string, rank int)
+	AdmissionPressure(service string, read func() float64)
 	Attempted(end string, took sequoiasill.Millis)
 	// UnframedEnded counts an attempt whose response has no framing and ends with its connection.
 	UnframedEnded(end string)
@@ -215,6 +220,7 @@
 	Registrar *registrar.Registrar
 	Assigner  *assigner.Assigner
 	Allotter  *allotter.Allotter
+	Admitter  *admitter.Admitter
 	Rationer  *rationer.Rationer
 	Blamer    *blamer.Blamer
 }
@@ -250,6 +256,7 @@
 	registrar   *registrar.Registrar
 	assigner    *assigner.Assigner
 	allotter    *allotter.Allotter
+	admitter    *admitter.Admitter
 	rationer    *rationer.Rationer
 	blamer      *blamer.Blamer
 	engineLoads map[string]*engineLoad // by service
@@ -266,7 +273,7 @@
 	return &Dispatcher{
 		callsEnd: callsEnd, endCalls: endCalls, streamsEnd: streamsEnd, endStreams: endStreams, durations: newDurations(),
 		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, paths: paths, relays: relays, meter: meter, clock: clock, log: log.Named("dispatcher"),
-		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad), tries: make(map[*try]bool), doubts: make(map[string][]doubt), breaks: make(map[string][]pathBreak),
+		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, admitter: ds.Admitter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad), tries: make(map[*try]bool), doubts: make(map[string][]doubt), breaks: make(map[string][]pathBreak),
 	}
 }
 
@@ -280,6 +287,7 @@
 		}
 		if d.traffic.CompareAndSwap(old, t) {
 			d.durations.keepRoutes(t.Routes)
+			d.setAdmissionTraffic()
 			return true
 		}
 	}
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/admitter"
 	"sequoiasill.dev/sequoiasill/decide/allotter"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
 	"sequoiasill.dev/sequoiasill/decide/blamer"
@@ -304,7 +305,7 @@
 	}
 	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, u, screen, paths, relays, meter.New(), dispatcher.StateMachines{
 		Registrar: r, Assigner: assigner.New(assigner.DefaultOptions(), 1), Allotter: allotter.New(allotter.Limits{Window: 1000}, 1, true),
-		Rationer: budget, Blamer: blamer.New(blamer.DefaultOptions()),
+		Admitter: admitter.New(admitter.DefaultOptions(), 1), Rationer: budget, Blamer: blamer.New(blamer.DefaultOptions()),
 	}, clock, log)
 	d.SetTraffic(traffic)
 	return d
--- a/relay/dispatcher/feedback.go
+++ b/relay/dispatcher/feedback.go
@@ -12,6 +12,7 @@
 		return
 	}
 	r := t.choice.Replica
+	t.recordPressure(a)
 	if a.HasLoad {
 		t.d.WithRegistrar(func(g *registrar.Registrar) { g.RecordLoad(t.d.clock.Now(), r.Name, a.Load) })
 	}
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -107,8 +107,8 @@
 }
 
 // admit looks up the route and the organisation, sets the deadline and charges the quota unless the
-// entry that relayed the call has done so. It refuses a call that has no time left or that the shutdown
-// would break off, and a quarantined request.
+// entry that relayed the call has done so. It refuses a call that has no time left, that the shutdown
+// would break off or that the load of the upstreams does not admit, and a quarantined request.
 func (d *Dispatcher) admit(j *job) *sequoiasill.Failure {
 	call := j.call
 	t := d.traffic.Load()
@@ -151,24 +151,12 @@
 	if failure := d.screen(j); failure != nil {
 		return failure
 	}
-	if wait, ok := d.takeQuota(j); !ok {
-		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeOverloaded, http.StatusTooManyRequests,
-			"allowance of %s is spent", j.account.Name).WithRetryAfter(wait)
-	}
-	return nil
+	return d.charge(j)
 }
 
-// takeQuota charges the cost of the call to the organisation's quota, and counts the call
-// towards the retry budget of its service. For a relayed call, the entry that relayed it does both. If the quota is exhausted, it returns false and the
-// time to wait before a retry.
-func (d *Dispatcher) takeQuota(j *job) (sequoiasill.Millis, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.clock.Now()
-	if j.relayed {
-		j.retryBudget = d.rationer.RelayedCall(now, j.service)
-		return 0, true
-	}
+// takeQuota charges the cost of the call to the organisation's quota. If the quota is exhausted, it
+// returns false and the time to wait before a retry. The caller holds the lock.
+func (d *Dispatcher) takeQuota(now sequoiasill.Millis, j *job) (sequoiasill.Millis, bool) {
 	if j.account != nil {
 		if wait, ok := d.allotter.Take(now, j.account, j.account.Cost(j.call.Prompt)); !ok {
 			d.log.Debug("allowance is spent", "request", j.call.ID, "organisation", j.account.Name,
@@ -176,7 +164,6 @@
 			return wait, false
 		}
 	}
-	j.retryBudget = d.rationer.Call(now, j.service)
 	return 0, true
 }
 
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -34,6 +34,18 @@
 	m.count(fmt.Sprintf(`sequoia_refusals_total{code=%q}`, string(code)))
 }
 
+// AdmissionRefused counts a call that was refused as the upstreams of its service are saturated, by
+// the rank of its priority there.
+func (m *Meter) AdmissionRefused(service string, rank int) {
+	m.count(fmt.Sprintf(`sequoia_admission_refusals_total{service=%q,rank="%d"}`, service, rank))
+}
+
+// AdmissionPressure publishes the waiting calls per slot of a service. Only the first registration
+// for a service takes effect.
+func (m *Meter) AdmissionPressure(service string, read func() float64) {
+	m.set.GetOrCreateGauge(fmt.Sprintf(`sequoia_admission_pressure{service=%q}`, service), read)
+}
+
 // Attempted counts an attempt by outcome and records its duration.
 func (m *Meter) Attempted(end string, took sequoiasill.Millis) {
 	m.count(fmt.Sprintf(`sequoia_attempts_total{end=%q}`, end))
