--- a/relay/dispatcher/admission.go
+++ b/relay/dispatcher/admission.go
@@ -52,9 +52,9 @@
 }
 
 // checkPressure refuses a call whose upstreams are saturated if its refusal costs callers least. A
-// stream that its caller resumes has been admitted before. The caller holds the lock.
+// stream that its caller resumes was admitted before. The caller holds the lock.
 func (d *Dispatcher) checkPressure(now sequoiasill.Millis, j *job) *sequoiasill.Failure {
-	if j.call.LastEvent != "" {
+	if j.route.Kind == sequoiasill.Streaming && j.call.LastEvent != "" {
 		return nil
 	}
 	a := d.admitter.Decide(now, admitter.Request{
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -39,6 +39,7 @@
 	ignoresCancel bool
 	status        int
 	refused       bool
+	misdirected   bool // the response of another upstream
 	forged        bool // not authenticated as the response of the upstream
 	events        bool
 	body          string
@@ -49,6 +50,7 @@
 	draining      bool
 	pause         sequoiasill.Millis
 	limit         registrar.Limit
+	load          *registrar.Load // nil for no report
 }
 
 type sendError struct {
@@ -119,14 +121,18 @@
 		}
 		return nil
 	}
-	return &dispatcher.Response{
-		Outlived: outlived, Status: s.status, Header: http.Header{"X-Upstream": {a.Replica.Name}}, Refused: s.refused, Authentic: !s.forged,
+	response := &dispatcher.Response{
+		Outlived: outlived, Status: s.status, Header: http.Header{"X-Upstream": {a.Replica.Name}}, Refused: s.refused, Misdirected: s.misdirected, Authentic: !s.forged,
 		Draining: s.draining, Pause: s.pause, Limit: s.limit, EventStream: s.events, UntilClose: s.untilClose, Body: body, Close: func(whole bool) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.readWhole = append(c.readWhole, whole)
 		},
-	}, nil
+	}
+	if s.load != nil {
+		response.Load, response.HasLoad = *s.load, true
+	}
+	return response, nil
 }
 
 type brokenReader struct{}
--- a/relay/meter/meter_test.go
+++ b/relay/meter/meter_test.go
@@ -14,6 +14,10 @@
 	m := meter.New()
 	m.Gauge("sequoia_entries", func() float64 { return 9 })
 	m.Refused(sequoiasill.CodeOverloaded)
+	m.AdmissionRefused("model", 2)
+	for range 2 { // as with each configuration
+		m.AdmissionPressure("model", func() float64 { return 0.5 })
+	}
 	m.Attempted("answered", 12)
 	m.FirstEvent(30)
 	m.CallEnded(sequoiasill.Streaming, "good", 40)
@@ -26,6 +30,8 @@
 	for _, line := range []string{
 		"sequoia_entries 9",
 		`sequoia_refusals_total{code="overloaded"} 1`,
+		`sequoia_admission_refusals_total{service="model",rank="2"} 1`,
+		`sequoia_admission_pressure{service="model"} 0.5`,
 		`sequoia_attempts_total{end="answered"} 1`,
 		`sequoia_first_event_seconds_count 1`,
 		`sequoia_calls_total{kind="streaming",end="good"} 1`,
