--- a/decide/admitter/admitter.go
+++ b/decide/admitter/admitter.go
@@ -236,6 +236,18 @@
 
 // Decide decides whether a call is admitted.
 func (a *Admitter) Decide(now sequoiasill.Millis, r Request) Decision {
+	d := a.Assess(now, r)
+	if d.Probability == 0 {
+		return d
+	}
+	if d.Refused = a.rand.Float64() < d.Probability; d.Refused {
+		d.RetryAfter = a.retryAfter(r)
+	}
+	return d
+}
+
+// Assess returns the probability to refuse a call and the values behind it, without a decision.
+func (a *Admitter) Assess(now sequoiasill.Millis, r Request) Decision {
 	d := Decision{Age: -1}
 	s := a.service(now, r.Service)
 	if s == nil {
@@ -270,9 +282,6 @@
 	if d.Wait > r.Remaining {
 		d.Probability = 1
 	}
-	if d.Refused = a.rand.Float64() < d.Probability; d.Refused {
-		d.RetryAfter = a.retryAfter(r)
-	}
 	return d
 }
 
--- a/relay/dispatcher/admission.go
+++ b/relay/dispatcher/admission.go
@@ -11,9 +11,9 @@
 // setAdmissionTraffic gives the admission the routes of the traffic rules in force.
 func (d *Dispatcher) setAdmissionTraffic() {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	t := d.traffic.Load()
 	d.admitter.SetTraffic(t)
+	d.mu.Unlock()
 	for _, s := range t.Services {
 		d.meter.AdmissionPressure(s.Name, func() float64 { return d.pressure(s.Name) })
 	}
