--- a/cmd/sequoiactl/main.go
+++ b/cmd/sequoiactl/main.go
@@ -55,7 +55,7 @@
 	runs := make(map[string]func() int)
 	for _, c := range []command{
 		validateCommand, diffCommand, applyCommand, getCommand, statusCommand, sheetCommand,
-		moveStartCommand, moveWatchCommand, moveTakeBackCommand, moveHistoryCommand, explainCommand, reportCommand, repeatsCommand,
+		moveStartCommand, moveWatchCommand, moveTakeBackCommand, moveHistoryCommand, explainCommand, reportCommand, repeatsCommand, previewCommand,
 	} {
 		name, run := c(app, t)
 		runs[name] = run
