Admitter: nothing is refused while a fifth of the slots are free

The pressure times a long hold exceeded the band of plain routes when a few calls waited at one upstream among idle ones. Slots of an upstream with waiting calls count as taken, since a report may be made between two calls.

--- a/cmd/sequoiactl/preview.go
+++ b/cmd/sequoiactl/preview.go
@@ -45,8 +45,8 @@
 		printf("quota: %.1f in this entry's share (%.3f of all), %.1f estimated in all, recent %t", q.Level, q.Fraction, q.Remaining, q.Fresh)
 	}
 	a := p.Admission
-	printf("admission: refused with probability %.2f; rank %d of %d, %.2f waiting and %.2f running calls per slot, expected wait %s, %d reports in the last second, newest %s old",
-		a.Probability, a.Rank, a.Ranks, a.Waiting, a.Running, a.Wait, a.Samples, a.Age)
+	printf("admission: refused with probability %.2f; rank %d of %d, %.2f calls waiting per slot, %.2f of the slots taken, expected wait %s, %d reports in the last second, newest %s old",
+		a.Probability, a.Rank, a.Ranks, a.Waiting, a.Taken, a.Wait, a.Samples, a.Age)
 	if p.Refusal != "" {
 		printf("refused: %s", p.Refusal)
 	}
--- a/decide/admitter/admitter.go
+++ b/decide/admitter/admitter.go
@@ -36,9 +36,10 @@
 	StaleAge sequoiasill.Millis
 	// MinSamples is the number of load reports in the last second below which nothing is refused.
 	MinSamples int
-	// MinRunning is the mean of running calls per slot below which nothing is refused. Queues at a
-	// few upstreams then come from an uneven distribution, which refusals do not correct.
-	MinRunning float64
+	// MinTaken is the mean share of taken slots below which nothing is refused. With a fifth of the
+	// slots free, queues at some upstreams come from an uneven distribution, which refusals do not
+	// correct.
+	MinTaken float64
 	// MaxWaiting bounds the waiting calls per slot in one report, so that a faulty one has little
 	// weight. Known queues hold up to four.
 	MaxWaiting float64
@@ -80,7 +81,7 @@
 func DefaultOptions() Options {
 	return Options{
 		LoadDecay: 400, HoldDecay: 2 * sequoiasill.Second, FreshAge: 400, StaleAge: sequoiasill.Second,
-		MinSamples: 5, MinRunning: 0.5, MaxWaiting: 8, RejectedWaiting: 2,
+		MinSamples: 5, MinTaken: 0.8, MaxWaiting: 8, RejectedWaiting: 2,
 		EngineBand: Band{0.5, 1.25}, EngineShift: 0.7, PlainBand: Band{0.3, 0.6}, PlainLessUrgent: 0.5,
 		ReturnedFraction: 0.75, ReturnedWeight: 0.5,
 		DefaultTarget: 500, RetryTargets: 0.5, RetrySpread: 0.5, RetryRemaining: 1.0 / 3,
@@ -103,7 +104,7 @@
 	Engine      bool               // Band is in waiting calls per slot, else in milliseconds of wait
 	Rank, Ranks int                // rank of the call among those of the service, from 0 for the most urgent
 	Waiting     float64            // waiting calls per slot
-	Running     float64            // running calls per slot
+	Taken       float64            // share of the slots that are taken
 	Wait        sequoiasill.Millis // expected wait for a slot
 	Band        Band
 	Probability float64
@@ -124,7 +125,7 @@
 	priorities []int // of its routes, in order and each once
 
 	waiting  mean // calls per slot
-	running  mean // calls per slot
+	taken    mean // share of slots
 	hold     mean // milliseconds that a call holds a slot
 	samples  recentCount
 	reported bool
@@ -167,7 +168,7 @@
 // RecordLoad records a load report that came with a response.
 func (a *Admitter) RecordLoad(now sequoiasill.Millis, name string, l registrar.Load) {
 	if s := a.service(now, name); s != nil && l.Slots > 0 {
-		s.record(now, a.opts, a.waitingPerSlot(l), min(float64(l.Running)/float64(l.Slots), 1))
+		s.record(now, a.opts, a.waitingPerSlot(l), taken(l))
 	}
 }
 
@@ -198,6 +199,15 @@
 	}
 }
 
+// taken returns the share of taken slots in a report. Where calls wait, none is free, also if a report
+// is made between the end of one call and the start of the next.
+func taken(l registrar.Load) float64 {
+	if l.Waiting > 0 {
+		return 1
+	}
+	return min(max(float64(l.Running)/float64(l.Slots), 0), 1)
+}
+
 // waitingPerSlot returns the bounded number of waiting calls per slot in a report.
 func (a *Admitter) waitingPerSlot(l registrar.Load) float64 {
 	return min(max(float64(l.Waiting), 0)/float64(l.Slots), a.opts.MaxWaiting)
@@ -213,9 +223,9 @@
 	return s
 }
 
-func (s *service) record(now sequoiasill.Millis, opts Options, waiting, running float64) {
+func (s *service) record(now sequoiasill.Millis, opts Options, waiting, taken float64) {
 	s.waiting.add(now, opts.LoadDecay, waiting)
-	s.running.add(now, opts.LoadDecay, running)
+	s.taken.add(now, opts.LoadDecay, taken)
 	s.samples.add(now)
 	s.reported, s.newestAt = true, max(now, s.newestAt)
 }
@@ -258,10 +268,10 @@
 	if !known || !s.reported {
 		return d
 	}
-	d.Waiting, d.Running = a.Pressure(now, r.Service), s.running.value()
+	d.Waiting, d.Taken = a.Pressure(now, r.Service), s.taken.value()
 	d.Wait = sequoiasill.ClampDuration(d.Waiting*s.hold.value(), 1)
 	d.Samples, d.Age = s.samples.last(now), max(now-s.newestAt, 0)
-	if d.Samples < a.opts.MinSamples || d.Running < a.opts.MinRunning {
+	if d.Samples < a.opts.MinSamples || d.Taken < a.opts.MinTaken {
 		return d
 	}
 	var limited bool
--- a/relay/dispatcher/admission.go
+++ b/relay/dispatcher/admission.go
@@ -69,8 +69,8 @@
 		unit = "calls per slot"
 	}
 	return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeOverloaded, http.StatusServiceUnavailable,
-		"upstreams of %s are saturated: rank %d of %d, %.2f calls per slot wait, %.2f run, expected wait %d ms, band %.2f to %.2f %s, probability %.2f, %d samples, newest %d ms old",
-		j.service, a.Rank, a.Ranks, a.Waiting, a.Running, int64(a.Wait), a.Band.Low, a.Band.High, unit, a.Probability, a.Samples, int64(a.Age)).WithRetryAfter(a.RetryAfter)
+		"upstreams of %s are saturated: rank %d of %d, %.2f calls per slot wait, %.2f of the slots are taken, expected wait %d ms, band %.2f to %.2f %s, probability %.2f, %d samples, newest %d ms old",
+		j.service, a.Rank, a.Ranks, a.Waiting, a.Taken, int64(a.Wait), a.Band.Low, a.Band.High, unit, a.Probability, a.Samples, int64(a.Age)).WithRetryAfter(a.RetryAfter)
 }
 
 // recordPressure records the load in a response for the admission. A rejection counts as a full
