Cold upstreams: each entry keeps to a share of the rate of a cold upstream

Cold upstreams got up to 31 requests in a second, as idle upstreams attract calls of all entries and no message arrives in time for a start of 3 s. Each entry now sends to a cold upstream at a minimum interval with a random first offset. The cold time comes from the upstream's record, from gossip (optional field) and from Cold-Start-Ms in responses. Calls, retries, resumed streams and probes take from the share at the send.

--- a/decide/pathmonitor/pathmonitor.go
+++ b/decide/pathmonitor/pathmonitor.go
@@ -219,6 +219,14 @@
 	return s.enter(now, p.Service, Unreachable, s.lastContact)
 }
 
+// ProbeWithheld records that a probe was not sent. It tells nothing of the path; if no probe of the
+// round settles the doubt, the next round does.
+func (m *Monitor) ProbeWithheld(p Probe) {
+	if s := m.service(p.Service); p.Round == s.round && s.pending > 0 {
+		s.pending--
+	}
+}
+
 // Tick returns the probes that should be started, and the services whose silence put them in
 // doubt. upstreams returns the names of a service's upstreams that may be probed.
 func (m *Monitor) Tick(now sequoiasill.Millis, upstreams func(service string) []string) (probes []Probe, changes []Transition) {
--- a/decide/registrar/brittle.go
+++ b/decide/registrar/brittle.go
@@ -110,7 +110,7 @@
 		return false
 	}
 	slots := float64(max(s.replica.Slots, 1))
-	if s.inFlight < int(brittleRoom*slots/float64(entries)+s.rounding) {
+	if s.inFlight < int(entryShare(slots, brittleRoom, entries)+s.rounding) {
 		return true
 	}
 	if !s.reported || now-s.loadAt > brittleReportAge {
@@ -136,8 +136,7 @@
 	if !r.IsBrittle(now, s.replica.Service) {
 		return
 	}
-	perSecond := max(r.brittle[s.replica.Service].rejections*rejectionShare, 1e-3)
-	pause := float64(r.entries) / perSecond * float64(sequoiasill.Second)
+	pause := shareInterval(r.brittle[s.replica.Service].rejections, rejectionShare, r.entries)
 	pause *= 1 + rejectionJitter*(2*r.rand.Float64()-1)
 	s.rejectedUntil = now + min(max(sequoiasill.Millis(pause), minRejectionPause), maxRejectionPause)
 }
--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -89,6 +89,11 @@
 	rand         *rand.Rand
 	entries      int                     // that send calls to the upstreams
 	brittle      map[string]*brittleness // by service
+	coldRates    map[string]float64      // requests a second that a cold upstream serves, by service
+	coldEntries  int                     // among which these are divided
+	cold         ColdStats               // without the number of cold upstreams
+	coldStarts   []RecordedColdStart     // that ColdStarts has not returned yet
+	evacuated    map[string]bool         // zones to which nothing is sent
 }
 
 // drainNotice records that an incarnation of an upstream announced its shutdown. It
@@ -125,8 +130,9 @@
 	backoffUntil     sequoiasill.Millis
 	pausedUntil      sequoiasill.Millis // end of the pause that it requested
 	limit            limit
-	slowStartWindow  int                // maximum calls in flight while it resumes after a pause, 0 for no limit
-	rounding         float64            // of this entry's share of its slots, from 0 to 1
+	slowStartWindow  int     // maximum calls in flight while it resumes after a pause, 0 for no limit
+	rounding         float64 // of this entry's share of its slots, from 0 to 1
+	cold             coldState
 	rejectedUntil    sequoiasill.Millis // end of the time without calls after a rejection while it is brittle
 	callsBeforePause int                // calls in flight that were sent before the pause
 }
@@ -134,7 +140,7 @@
 // New returns a Registrar without upstreams. The seed makes its jitter reproducible.
 func New(opts Options, seed uint64) *Registrar {
 	return &Registrar{
-		opts: opts, entries: 1, replicas: make(map[string]*state), brittle: make(map[string]*brittleness), drainNotices: make(map[string]drainNotice), rand: rand.New(rand.NewPCG(seed, 0)),
+		opts: opts, entries: 1, coldEntries: maxColdEntries, replicas: make(map[string]*state), brittle: make(map[string]*brittleness), drainNotices: make(map[string]drainNotice), rand: rand.New(rand.NewPCG(seed, 0)),
 	}
 }
 
@@ -143,6 +149,10 @@
 func (r *Registrar) Announce(now sequoiasill.Millis, n sequoiasill.Replica) bool {
 	s, known := r.replicas[n.Name]
 	if known && (s.replica.Revision >= n.Revision || s.isRestoredRecord(n)) {
+		if s.replica.Revision == n.Revision {
+			// A build that does not know cold upstreams may have passed the record on without the time.
+			r.recordColdTime(now, s, n)
+		}
 		return false
 	}
 	if !known || n.StartedAt > s.replica.StartedAt || s.removed || n.Address != s.replica.Address {
@@ -153,7 +163,7 @@
 			next.inFlight, next.prefill = s.inFlight, s.prefill
 		}
 		if known && n.StartedAt == s.replica.StartedAt {
-			next.limit = s.limit
+			next.limit, next.cold = s.limit, s.cold
 		}
 		s = next
 		r.replicas[n.Name] = s
@@ -164,6 +174,7 @@
 	s.replica = n
 	s.removeAt = 0
 	s.setDraining(now, r.isDraining(n))
+	r.recordColdTime(now, s, n)
 	return true
 }
 
@@ -231,10 +242,11 @@
 }
 
 // MaySend reports whether a call that was assigned to an incarnation of an upstream may
-// still be sent to it. An upstream with a rate limit requires a permit.
+// still be sent to it, and counts the call towards this entry's share of the rate of a cold upstream.
+// An upstream with a rate limit requires a permit.
 func (r *Registrar) MaySend(now sequoiasill.Millis, n sequoiasill.Replica, permitted bool) bool {
 	s, ok := r.replicas[n.Name]
-	return ok && s.replica.StartedAt == n.StartedAt && !s.removed && !s.replica.Draining && s.pausedUntil <= now && (permitted || !s.limit.active)
+	return ok && s.replica.StartedAt == n.StartedAt && !s.removed && !s.replica.Draining && s.pausedUntil <= now && (permitted || !s.limit.active) && !r.evacuated[s.replica.Zone] && r.takeColdShare(now, s)
 }
 
 // NextAvailable returns the time until the first upstream of a service accepts calls again.
@@ -242,10 +254,10 @@
 func (r *Registrar) NextAvailable(now sequoiasill.Millis, service string) (sequoiasill.Millis, bool) {
 	first, found := sequoiasill.Millis(0), false
 	for _, s := range r.replicas {
-		if s.replica.Service != service || s.removed || s.replica.Draining {
+		if s.replica.Service != service || s.removed || s.replica.Draining || r.evacuated[s.replica.Zone] {
 			continue
 		}
-		wait := max(s.pausedUntil, s.backoffUntil, s.limit.deniedUntil, s.rejectedUntil) - now
+		wait := max(s.pausedUntil, s.backoffUntil, s.limit.deniedUntil, s.rejectedUntil, now+r.coldWait(now, s)) - now
 		if wait <= 0 {
 			return 0, false
 		}
@@ -341,6 +353,7 @@
 	if s, ok := r.replicas[name]; ok {
 		s.inFlight++
 		s.prefill += prefill
+		s.cold.reserved = true
 	}
 }
 
@@ -367,6 +380,7 @@
 	if !ok {
 		return
 	}
+	s.cold.reserved = false
 	s.inFlight = max(s.inFlight-1, 0)
 	s.callsBeforePause = max(s.callsBeforePause-1, 0)
 	s.prefill = max(s.prefill-prefill, 0)
@@ -423,7 +437,7 @@
 	var out []Candidate
 	brittle := r.IsBrittle(now, service)
 	for _, s := range r.replicas {
-		if s.replica.Service == service && s.usable(now) && (!brittle || s.hasRoom(now, r.entries)) {
+		if s.replica.Service == service && s.usable(now) && !r.evacuated[s.replica.Zone] && r.hasColdRoom(now, s) && (!brittle || s.hasRoom(now, r.entries)) {
 			out = append(out, s.candidate(now, r.opts))
 		}
 	}
@@ -459,7 +473,7 @@
 func (r *Registrar) Probeable(now sequoiasill.Millis, service string) []sequoiasill.Replica {
 	var out []sequoiasill.Replica
 	for _, s := range r.replicas {
-		if s.replica.Service == service && !s.removed && !s.replica.Draining && s.pausedUntil <= now {
+		if s.replica.Service == service && s.probeable(now) && !r.evacuated[s.replica.Zone] && r.hasColdRoom(now, s) {
 			out = append(out, s.replica)
 		}
 	}
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -6,7 +6,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -363,18 +362,6 @@
 // maxProbeBytes limits the size of a probe's response.
 const maxProbeBytes = 16 << 10
 
-// Probe opens a connection to an upstream, requests the path on it and keeps it for later
-// requests. Any response is a success.
-func (c *Connector) Probe(ctx context.Context, upstream, address, path string) error {
-	x, err := c.Do(ctx, Request{Upstream: upstream, Address: address, Method: http.MethodGet, Target: path, Host: address, NewConnection: true})
-	if err != nil {
-		return err
-	}
-	n, err := io.Copy(io.Discard, io.LimitReader(x.Response.Body, maxProbeBytes))
-	x.Close(err == nil && n < maxProbeBytes)
-	return nil
-}
-
 // readResponse reads the header of the response, and skips responses to earlier requests.
 func (x *Exchange) readResponse(r Request) error {
 	for range maxSkipped + 1 {
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -246,7 +246,7 @@
 func (t *try) handleSendError(e classifier.End, err, cause error) (nextStep, string) {
 	switch e.Kind {
 	case classifier.Withheld:
-		return t.conclude(e, "withheld", "upstream leaves, rests or limits its calls, the prompt is quarantined, or the entry shuts down")
+		return t.conclude(e, "withheld", "upstream leaves, rests, limits its calls, is cold or evacuated, the prompt is quarantined, or the entry shuts down")
 	case classifier.NotSent:
 		if !t.relay {
 			t.notSent++
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -55,6 +55,7 @@
 	Pause         sequoiasill.Millis    // pause that the upstream requests, 0 for none
 	Limit         registrar.Limit       // rate limit that the upstream applies to the calls of all entries
 	Brittle       registrar.Brittleness // whether the upstream withstands few rejected calls
+	ColdFor       sequoiasill.Millis    // time for which the upstream stays cold, 0 if it is not
 	Load          registrar.Load
 	HasLoad       bool
 	NewConnection bool       // the request was the first one on its connection
@@ -280,6 +281,7 @@
 		}
 		if d.traffic.CompareAndSwap(old, t) {
 			d.durations.keepRoutes(t.Routes)
+			d.applyColdRates()
 			return true
 		}
 	}
--- a/relay/dispatcher/feedback.go
+++ b/relay/dispatcher/feedback.go
@@ -22,6 +22,7 @@
 		t.d.pauseUpstream(r, a.Pause)
 	}
 	t.d.updateBrittleness(r, a.Brittle)
+	t.d.updateCold(r, a.ColdFor)
 	t.limit = a.Limit
 	t.d.updateLimit(r, a.Limit)
 }
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -216,7 +216,7 @@
 			if d.awaitUpstream(ctx, j) {
 				continue
 			}
-			d.finish(ctx, j, noUpstreamReason(j))
+			d.finish(ctx, j, d.noUpstreamReason(j))
 			return
 		}
 		var n nextStep
@@ -269,14 +269,6 @@
 	return others
 }
 
-// noUpstreamReason returns the reason why no upstream can run a call.
-func noUpstreamReason(j *job) string {
-	if j.denials > 0 {
-		return "upstreams limit their calls"
-	}
-	return "no upstream left"
-}
-
 // placement is the chosen upstream of an attempt, or the entry to which the call is relayed.
 type placement struct {
 	relay  *peerpicker.Peer // nil unless the call is relayed
--- a/relay/exchanger/codec.go
+++ b/relay/exchanger/codec.go
@@ -60,6 +60,7 @@
 	ShutdownIn  int64  `cbor:"8,keyasint,omitempty"`
 	StartedAt   int64  `cbor:"9,keyasint,omitempty"`
 	Sequence    uint64 `cbor:"10,keyasint,omitempty"`
+	ColdFor     int64  `cbor:"11,keyasint,omitempty"`
 }
 
 func encodeState(s State, now sequoiasill.Millis) ([]byte, error) {
@@ -148,7 +149,7 @@
 func encodeReplica(r sequoiasill.Replica) ([]byte, error) {
 	b, err := cbor.Marshal(wireReplica{
 		Service: r.Service, Address: r.Address, Zone: r.Zone, Version: r.Version, Slots: r.Slots, Draining: r.Draining,
-		Reclaimable: r.Reclaimable, ShutdownIn: int64(r.ShutdownIn), StartedAt: int64(r.StartedAt), Sequence: r.Sequence,
+		Reclaimable: r.Reclaimable, ShutdownIn: int64(r.ShutdownIn), StartedAt: int64(r.StartedAt), Sequence: r.Sequence, ColdFor: int64(r.ColdFor),
 	})
 	return b, errors.Annotate(err, "encode replica")
 }
@@ -161,6 +162,6 @@
 	return sequoiasill.Replica{
 		Name: name, Service: w.Service, Address: w.Address, Zone: w.Zone, Version: w.Version, Slots: w.Slots,
 		Draining: w.Draining, Reclaimable: w.Reclaimable, ShutdownIn: sequoiasill.Millis(w.ShutdownIn),
-		StartedAt: sequoiasill.Millis(w.StartedAt), Revision: revision, Sequence: w.Sequence,
+		StartedAt: sequoiasill.Millis(w.StartedAt), Revision: revision, Sequence: w.Sequence, ColdFor: sequoiasill.Millis(w.ColdFor),
 	}, nil
 }
--- a/relay/exchanger/compatibility_test.go
+++ b/relay/exchanger/compatibility_test.go
@@ -22,7 +22,7 @@
 			Process: "p1", Demand: wireDemand{Tokens: map[string]int64{"small": 7}, Work: map[string]int64{"model": 8}, Spent: map[string]int64{"small": 9}},
 			Tally: map[int64]map[string]int{3: {"small": 4}}, Charges: []wireCharge{{Fingerprint: 1 << 63, Upstream: 2, AgeMillis: 30}},
 		},
-		"replica":  wireReplica{Service: "model", Address: "10.0.0.1:1", Zone: "a", Version: "v1", Slots: 6, Draining: true, Reclaimable: true, ShutdownIn: 5, StartedAt: 6, Sequence: 7},
+		"replica":  wireReplica{Service: "model", Address: "10.0.0.1:1", Zone: "a", Version: "v1", Slots: 6, Draining: true, Reclaimable: true, ShutdownIn: 5, StartedAt: 6, Sequence: 7, ColdFor: 8},
 		"limit":    wireLimit{StartedAt: 1, Limited: true, PerSecond: 1.5},
 		"ask":      wireAsk{Upstream: "i-1", StartedAt: 1, ID: 2, WantsPermit: true, FromUpstream: true, PerSecond: 1.5, AgeMillis: 3, Process: "p1", Sends: []wireSends{{Granter: "e1", AgesMillis: []int64{1, 2}, Open: 3}}},
 		"decision": wireDecision{Upstream: "i-1", StartedAt: 1, ID: 2, WantsPermit: true, Granted: true, Lifted: true, WaitMillis: 3, Granter: "e1"},
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -176,6 +176,7 @@
 	clock     sequoiasill.Clock
 	bootClock sequoiasill.Clock // advances while the instance is suspended
 	limits    *limits
+	count     entryCount
 	log       hclog.Logger
 	gossip    *messenger.Messenger
 	server    *http.Server
@@ -244,7 +245,7 @@
 	e.gossip = messenger.New(gossiper.New(self, gossipOptions(), seed), conn, nil, clock, messenger.Handler{
 		MemberChanged: func(gossiper.Member) {}, FactReceived: e.handleFact,
 	}, log)
-	e.gossip.SetSeeds(opts.Seeds)
+	e.SetSeeds(opts.Seeds)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configPath, e.serveConfig)
 	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: pullTimeout}
@@ -279,7 +280,10 @@
 }
 
 // SetSeeds sets the addresses of other entries by name. Some may be outdated.
-func (e *Exchanger) SetSeeds(addresses map[string]string) { e.gossip.SetSeeds(addresses) }
+func (e *Exchanger) SetSeeds(addresses map[string]string) {
+	e.count.setSeeds(len(addresses))
+	e.gossip.SetSeeds(addresses)
+}
 
 // Leave sends last reports and announces that this entry is leaving the cluster.
 func (e *Exchanger) Leave() {
--- a/relay/prober/prober.go
+++ b/relay/prober/prober.go
@@ -8,15 +8,17 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/pathmonitor"
+	"sequoiasill.dev/sequoiasill/relay/connector"
 )
 
 // Connector opens connections to upstreams, which later requests use.
 type Connector interface {
 	// Probe opens a connection to an upstream and requests the path on it. Any response is a
-	// success.
+	// success. The error wraps connector.ErrWithheld if the upstream may get no probe now.
 	Probe(ctx context.Context, upstream, address, path string) error
 }
 
@@ -178,6 +180,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := p.connector.Probe(ctx, t.Upstream, t.Address, t.Path)
+	if errors.Is(err, connector.ErrWithheld) {
+		p.log.Debug("probe withheld", "service", probe.Service, "upstream", probe.Upstream)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.monitor.ProbeWithheld(probe)
+		return
+	}
 	p.meter.PathProbed(err == nil)
 	p.log.Debug("probe", "service", probe.Service, "upstream", probe.Upstream, "error", err)
 	p.update(func(now sequoiasill.Millis) *pathmonitor.Transition {
--- a/replica.go
+++ b/replica.go
@@ -21,6 +21,7 @@
 	ShutdownIn  Millis // time until shutdown, counted from the announcement; 0 if not announced
 	StartedAt   Millis // start time, which distinguishes restarts under the same name
 	Revision    uint64 // store version of the announcement
+	ColdFor     Millis // time for which it stays cold, counted from the announcement; 0 if it is not
 	Sequence    uint64 // rises with each write of the replica, 0 if unknown
 }
 
@@ -50,6 +51,8 @@
 		return errors.New("its start time is out of range")
 	case r.ShutdownIn < 0 || r.ShutdownIn > MaxDuration:
 		return errors.New("its time until shutdown is out of range")
+	case r.ColdFor < 0 || r.ColdFor > MaxDuration:
+		return errors.New("its cold time is out of range")
 	case r.Sequence > MaxNumber:
 		return errors.New("its sequence number is out of range")
 	}
--- a/traffic.go
+++ b/traffic.go
@@ -58,7 +58,8 @@
 type TrafficService struct {
 	Name           string
 	HealthPath     string
-	MaxConnections int // connections that one upstream accepts in total
+	MaxConnections int     // connections that one upstream accepts in total
+	ColdPerSec     float64 // requests a second that a cold upstream serves, 0 if the service has no cold starts
 	Engine         *EngineLimits
 	Scaling        *ScalingLimits
 }
