--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -147,6 +147,8 @@
 	Calls    Calls
 	Moves    Moves
 	Screener Screener
+	// Evacuations may be nil.
+	Evacuations Evacuations
 }
 
 // Options configure an Exchanger.
@@ -166,26 +168,27 @@
 
 // Exchanger shares state with other entries until Close. It is safe for concurrent use.
 type Exchanger struct {
-	opts      Options
-	configs   Configs
-	replicas  Replicas
-	calls     Calls
-	origin    Origin
-	moves     Moves
-	screener  Screener
-	clock     sequoiasill.Clock
-	bootClock sequoiasill.Clock // advances while the instance is suspended
-	limits    *limits
-	count     entryCount
-	log       hclog.Logger
-	gossip    *messenger.Messenger
-	server    *http.Server
-	client    *http.Client
-	wake      chan struct{}
-	reported  chan struct{} // an entry reported to this collector
-	summed    chan struct{} // a total arrived
-	stop      chan struct{}
-	once      sync.Once
+	opts        Options
+	configs     Configs
+	replicas    Replicas
+	calls       Calls
+	origin      Origin
+	moves       Moves
+	screener    Screener
+	evacuations Evacuations // nil if they are not used
+	clock       sequoiasill.Clock
+	bootClock   sequoiasill.Clock // advances while the instance is suspended
+	limits      *limits
+	count       entryCount
+	log         hclog.Logger
+	gossip      *messenger.Messenger
+	server      *http.Server
+	client      *http.Client
+	wake        chan struct{}
+	reported    chan struct{} // an entry reported to this collector
+	summed      chan struct{} // a total arrived
+	stop        chan struct{}
+	once        sync.Once
 
 	mu               sync.Mutex
 	tallier          *tallier.Tallier
@@ -234,7 +237,7 @@
 		opts.MinReportInterval = defaultReportInterval
 	}
 	e := &Exchanger{
-		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, screener: h.Screener, clock: clock, log: log.Named("exchanger"),
+		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, screener: h.Screener, evacuations: h.Evacuations, clock: clock, log: log.Named("exchanger"),
 		client: &http.Client{Timeout: pullTimeout}, wake: make(chan struct{}, 1), reported: make(chan struct{}, 1), summed: make(chan struct{}, 1), stop: make(chan struct{}),
 		startedAt: clock.Now(), bootClock: boot, limits: newLimits(opts.Name, opts.Name+"/"+opts.Session, boot.Now(), seed),
 		tallier: t, demands: make(map[string]receivedDemand), sums: make(map[string]receivedDemand), spent: make(map[string]float64),
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -22,6 +22,7 @@
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 	"sequoiasill.dev/sequoiasill/decide/tallier"
 	"sequoiasill.dev/sequoiasill/decide/throttler"
+	"sequoiasill.dev/sequoiasill/decide/zonetracker"
 	"sequoiasill.dev/sequoiasill/relay/exchanger"
 	"sequoiasill.dev/sequoiasill/relay/meter"
 	"sequoiasill.dev/sequoiasill/relay/screener"
@@ -31,24 +32,25 @@
 type entry struct {
 	*exchanger.Exchanger
 
-	mu        sync.Mutex
-	raw       []byte
-	version   uint64
-	replicas  map[string]string
-	demand    map[string]float64
-	spent     float64
-	origin    []byte // content of the store, nil while it is unavailable
-	fetches   atomic.Int64
-	total     allotter.Totals
-	collector string // collector that published totals
-	blamer    *blamer.Blamer
-	facts     map[string]string // facts about moves, by key
-	sharedBy  int               // number of entries among which limits are divided
-	label     string
-	address   string
-	screener  *screener.Screener
-	limits    map[throttler.Upstream]registrar.KnownLimit
-	toldAt    map[throttler.Upstream]sequoiasill.Millis // when a response announced the limit here
+	mu          sync.Mutex
+	raw         []byte
+	version     uint64
+	replicas    map[string]string
+	demand      map[string]float64
+	spent       float64
+	origin      []byte // content of the store, nil while it is unavailable
+	fetches     atomic.Int64
+	total       allotter.Totals
+	collector   string // collector that published totals
+	blamer      *blamer.Blamer
+	facts       map[string]string // facts about moves, by key
+	sharedBy    int               // number of entries among which limits are divided
+	label       string
+	address     string
+	screener    *screener.Screener
+	evacuations []zonetracker.Fact
+	limits      map[throttler.Upstream]registrar.KnownLimit
+	toldAt      map[throttler.Upstream]sequoiasill.Millis // when a response announced the limit here
 }
 
 func (e *entry) Current() ([]byte, uint64) {
@@ -210,7 +212,7 @@
 	}
 	opts := exchanger.Options{Name: name, Session: session, Zone: "a", Address: e.address, Seeds: seeds, MinEntries: 1, MinReportInterval: interval}
 	tl := tallier.New(name+"/"+session, 5*sequoiasill.Second, 4)
-	e.Exchanger = exchanger.New(opts, conn, l, tl, exchanger.Handlers{Configs: e, Origin: e, Replicas: e, Calls: e, Moves: e, Screener: e.screener}, clock, clock, uint64(number+1), hclog.NewNullLogger())
+	e.Exchanger = exchanger.New(opts, conn, l, tl, exchanger.Handlers{Configs: e, Origin: e, Replicas: e, Calls: e, Moves: e, Screener: e.screener, Evacuations: e}, clock, clock, uint64(number+1), hclog.NewNullLogger())
 	t.Cleanup(e.Close)
 	return e
 }
--- a/relay/exchanger/facts.go
+++ b/relay/exchanger/facts.go
@@ -94,6 +94,8 @@
 		e.handleUse(f)
 	case strings.HasPrefix(f.Key, keyCensus):
 		e.handleCensus(f)
+	case strings.HasPrefix(f.Key, keyEvacuation):
+		e.handleEvacuation(strings.TrimPrefix(f.Key, keyEvacuation), f)
 	case e.handlePartFact(f):
 	case f.Key != keyHolder && f.Key != keyUsage && !strings.HasPrefix(f.Key, keyUnavailable) && !strings.HasPrefix(f.Key, keyUnreachable):
 		e.moves.HandleFact(f)
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -91,6 +91,11 @@
 	m.count(fmt.Sprintf(`sequoia_unusable_entries_total{kind=%q}`, kind))
 }
 
+// EvacuationChanged counts an evacuation of a zone that starts or ends, by the source that told it.
+func (m *Meter) EvacuationChanged(evacuated bool, source string) {
+	m.count(fmt.Sprintf(`sequoia_evacuation_changes_total{evacuated="%t",source=%q}`, evacuated, source))
+}
+
 // StoreRestored counts that the store came back from a copy.
 func (m *Meter) StoreRestored() { m.count("sequoia_store_restores_total") }
 
