--- a/decide/registrar/cold.go
+++ b/decide/registrar/cold.go
@@ -6,7 +6,7 @@
 const (
 	// coldShare is the fraction of the rate of a cold upstream that all entries together use. With 62
 	// entries at random offsets, more than 29 of 8 expected requests fall into a given second with a
-	// probability of about 1e-10, and with 1e-6 if half of the entries know of only half of them. The
+	// probability of 1.3e-11, and of 1.5e-7 if half of the entries know of only half of them. The
 	// rest of the rate absorbs requests that were sent before the entries knew.
 	coldShare = 0.5
 	// maxColdEntries is the number of entries that is assumed until it is known: the largest for which
