--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -147,6 +147,8 @@
 	Calls    Calls
 	Moves    Moves
 	Screener Screener
+	// Evacuations may be nil.
+	Evacuations Evacuations
 }
 
 // Options configure an Exchanger.
@@ -166,25 +168,27 @@
 
 // Exchanger shares state with other entries until Close. It is safe for concurrent use.
 type Exchanger struct {
-	opts      Options
-	configs   Configs
-	replicas  Replicas
-	calls     Calls
-	origin    Origin
-	moves     Moves
-	screener  Screener
-	clock     sequoiasill.Clock
-	bootClock sequoiasill.Clock // advances while the instance is suspended
-	limits    *limits
-	log       hclog.Logger
-	gossip    *messenger.Messenger
-	server    *http.Server
-	client    *http.Client
-	wake      chan struct{}
-	reported  chan struct{} // an entry reported to this collector
-	summed    chan struct{} // a total arrived
-	stop      chan struct{}
-	once      sync.Once
+	opts        Options
+	configs     Configs
+	replicas    Replicas
+	calls       Calls
+	origin      Origin
+	moves       Moves
+	screener    Screener
+	evacuations Evacuations // nil if they are not used
+	clock       sequoiasill.Clock
+	bootClock   sequoiasill.Clock // advances while the instance is suspended
+	limits      *limits
+	count       entryCount
+	log         hclog.Logger
+	gossip      *messenger.Messenger
+	server      *http.Server
+	client      *http.Client
+	wake        chan struct{}
+	reported    chan struct{} // an entry reported to this collector
+	summed      chan struct{} // a total arrived
+	stop        chan struct{}
+	once        sync.Once
 
 	mu               sync.Mutex
 	tallier          *tallier.Tallier
@@ -233,7 +237,7 @@
 		opts.MinReportInterval = defaultReportInterval
 	}
 	e := &Exchanger{
-		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, screener: h.Screener, clock: clock, log: log.Named("exchanger"),
+		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, screener: h.Screener, evacuations: h.Evacuations, clock: clock, log: log.Named("exchanger"),
 		client: &http.Client{Timeout: pullTimeout}, wake: make(chan struct{}, 1), reported: make(chan struct{}, 1), summed: make(chan struct{}, 1), stop: make(chan struct{}),
 		startedAt: clock.Now(), bootClock: boot, limits: newLimits(opts.Name, opts.Name+"/"+opts.Session, boot.Now(), seed),
 		tallier: t, demands: make(map[string]receivedDemand), sums: make(map[string]receivedDemand), spent: make(map[string]float64),
@@ -244,7 +248,7 @@
 	e.gossip = messenger.New(gossiper.New(self, gossipOptions(), seed), conn, nil, clock, messenger.Handler{
 		MemberChanged: func(gossiper.Member) {}, FactReceived: e.handleFact,
 	}, log)
-	e.gossip.SetSeeds(opts.Seeds)
+	e.SetSeeds(opts.Seeds)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configPath, e.serveConfig)
 	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: pullTimeout}
@@ -279,7 +283,10 @@
 }
 
 // SetSeeds sets the addresses of other entries by name. Some may be outdated.
-func (e *Exchanger) SetSeeds(addresses map[string]string) { e.gossip.SetSeeds(addresses) }
+func (e *Exchanger) SetSeeds(addresses map[string]string) {
+	e.count.setSeeds(len(addresses))
+	e.gossip.SetSeeds(addresses)
+}
 
 // Leave sends last reports and announces that this entry is leaving the cluster.
 func (e *Exchanger) Leave() {
