Balance upstreams by the pace that they report

Upstreams that need more than twice as long as others were balanced as equals, as load reports with a fourth figure were discarded. The registrar keeps a usual and a momentary pace of each incarnation, and the assigner weights the cost of work by the expected one. It also prefers an upstream to which the entry holds an idle connection among nearly equal ones.

--- a/decide/assigner/assigner.go
+++ b/decide/assigner/assigner.go
@@ -1,6 +1,7 @@
 // Package assigner selects the upstream with the lowest estimated cost for a call, in
 // milliseconds. The cost covers prompt tokens to prefill, queued and running calls, the
-// failure rate and the network distance. Prompts with shared parts prefer one upstream,
+// failure rate and the network distance. The cost of work is weighted by the upstream's pace, so that
+// load follows speed. Prompts with shared parts prefer one upstream,
 // which may have these parts in its cache. Entries agree on it without communication, by
 // rendezvous hashing (Thaler and Ravishankar, 1998), and use it while it is the cheapest.
 //
@@ -35,6 +36,9 @@
 	FailureFloor float64
 	// ZoneCost is the cost of sending a call to another availability zone.
 	ZoneCost float64
+	// ConnectCost is the cost of opening a connection. It is bounded by the cost of one more running
+	// call, so that the preference for idle connections does not impair the balance.
+	ConnectCost float64
 	// Jitter is the upper bound of the random jitter in the cost, which keeps entries with
 	// the same reports from all selecting the same upstream.
 	Jitter float64
@@ -44,7 +48,7 @@
 func DefaultOptions() Options {
 	return Options{
 		PrefillTokensPerMilli: 100, QueueCost: 40, BatchCost: 60, PlainCost: 30,
-		FailureCost: 1500, FailureFloor: 0.12, ZoneCost: 4, Jitter: 2,
+		FailureCost: 1500, FailureFloor: 0.12, ZoneCost: 4, ConnectCost: 3, Jitter: 2,
 	}
 }
 
@@ -65,6 +69,9 @@
 	Candidates int                // number of candidates
 	ReportAge  sequoiasill.Millis // age of its last load report, -1 for none
 	Limited    bool               // the call needs a permit for this upstream
+	Pace       float64            // the pace of the upstream that was assumed
+	// ByConnection is set if another upstream would have been chosen without idle connections.
+	ByConnection bool
 }
 
 // Assigner selects upstreams. It is not safe for concurrent use.
@@ -81,18 +88,27 @@
 // Choose returns the upstream for a call, or false if every candidate was tried.
 func (a *Assigner) Choose(req Request, candidates []registrar.Candidate) (Choice, bool) {
 	preferred := HomeIndex(req.Prompt, candidates)
+	reuse := canReuse(req, candidates)
 	best, found := Choice{}, false
+	cheapest, unconnected := 0.0, ""
 	for i := range candidates {
 		c := &candidates[i]
 		if req.Tried[c.Replica.Name] {
 			continue
 		}
 		choice := a.score(req, c, i == preferred)
+		if !found || choice.Cost < cheapest {
+			cheapest, unconnected = choice.Cost, c.Replica.Name
+		}
+		if reuse && !c.Connected {
+			choice.Cost += a.connectCost(req, c)
+		}
 		if !found || choice.Cost < best.Cost {
 			best, found = choice, true
 		}
 	}
 	best.Candidates = len(candidates)
+	best.ByConnection = found && best.Replica.Name != unconnected
 	return best, found
 }
 
@@ -100,22 +116,45 @@
 	slots := float64(max(c.Replica.Slots, 1))
 	running := (float64(c.InFlight) + c.OthersInFlight) / slots
 	cost := a.opts.Jitter * a.rand.Float64()
+	pace := c.Pace
+	if pace <= 0 {
+		pace = 1
+	}
 	prefill := 0
 	if req.Engine {
 		prefill = req.Prompt.Tokens
 		if preferred {
 			prefill -= sharedTokens(req.Prompt)
 		}
-		cost += float64(prefill+c.Prefill) / a.opts.PrefillTokensPerMilli
-		cost += a.opts.BatchCost*running + a.opts.QueueCost*c.Waiting
+		cost += pace * float64(prefill+c.Prefill) / a.opts.PrefillTokensPerMilli
+		cost += pace * (a.opts.BatchCost*running + a.opts.QueueCost*c.Waiting)
 	} else {
-		cost += a.opts.PlainCost*running + a.opts.QueueCost*c.Waiting
+		cost += pace * (a.opts.PlainCost*running + a.opts.QueueCost*c.Waiting)
 	}
 	cost += a.opts.FailureCost * max(c.FailureRate-a.opts.FailureFloor, 0)
 	if c.Replica.Zone != req.Zone {
 		cost += a.opts.ZoneCost
 	}
-	return Choice{Replica: c.Replica, Cost: cost, Prefill: max(prefill, 0), Home: preferred, ReportAge: c.ReportAge, Limited: c.Limited}
+	return Choice{Replica: c.Replica, Cost: cost, Prefill: max(prefill, 0), Home: preferred, ReportAge: c.ReportAge, Limited: c.Limited, Pace: pace}
+}
+
+// canReuse reports whether this entry holds an idle connection to one of the candidates.
+func canReuse(req Request, candidates []registrar.Candidate) bool {
+	for i := range candidates {
+		if candidates[i].Connected && !req.Tried[candidates[i].Replica.Name] {
+			return true
+		}
+	}
+	return false
+}
+
+// connectCost returns the cost of opening a connection to a candidate.
+func (a *Assigner) connectCost(req Request, c *registrar.Candidate) float64 {
+	full := a.opts.PlainCost
+	if req.Engine {
+		full = a.opts.BatchCost
+	}
+	return min(a.opts.ConnectCost, full/float64(max(c.Replica.Slots, 1)))
 }
 
 func sharedTokens(p sequoiasill.Prompt) int {
--- /dev/null
+++ b/decide/registrar/pace.go
@@ -0,0 +1,242 @@
+package registrar
+
+import (
+	"math"
+
+	"sequoiasill.dev/sequoiasill"
+)
+
+// Constants of the treatment of paces.
+const (
+	// MinPace and MaxPace bound the factor by which a reported pace changes the cost of work, so that an
+	// upstream with wrong reports neither attracts nor loses all calls.
+	MinPace = 0.25
+	MaxPace = 8.0
+	// paceDecay is the time constant with which the last report of a pace gives way to the usual one.
+	// Upstreams are slower than usual for tenths of a second.
+	paceDecay = 150 * sequoiasill.Millis(1)
+	// paceTolerance is the fraction above the usual pace up to which a report confirms it.
+	paceTolerance = 0.1
+	// paceRaiseSamples is the number of reports in a row above the usual pace that raise it, and
+	// paceRaiseInterval the minimum interval between those that count. Upstreams are slower than usual for
+	// 15 % of the time, so that one in 2,000 sequences of four reports is above it by chance.
+	paceRaiseSamples  = 4
+	paceRaiseInterval = 500 * sequoiasill.Millis(1)
+	// paceTellChange is the relative change of a usual pace that the other entries are told.
+	paceTellChange = 0.2
+	// paceTellInterval is the minimum interval between announcements of one upstream's pace, and
+	// paceTellGap that between any two of this entry: hundreds of entries send them, and they travel
+	// with probes.
+	paceTellInterval = 5 * sequoiasill.Second
+	paceTellGap      = sequoiasill.Second
+	// PaceTTL is how long an announcement is gossiped. It is renewed after half of that time, for entries
+	// that have started since.
+	PaceTTL = 10 * sequoiasill.Minute
+	// maxEarlyPaces is the number of announced paces that are kept for upstreams that are not known yet,
+	// and earlyPaceTime how long. The largest deployments have 2,700 upstreams.
+	maxEarlyPaces = 4096
+	earlyPaceTime = sequoiasill.Minute
+)
+
+// pace is what is known of the time that work takes at an upstream, as a factor.
+type pace struct {
+	usual  float64 // 0 if it is unknown
+	own    bool    // usual is from responses to this entry
+	last   float64
+	lastAt sequoiasill.Millis
+
+	raised   int                // reports above the usual pace in a row
+	raisedTo float64            // the lowest of them
+	raisedAt sequoiasill.Millis // time of the last one that counted
+
+	told   float64 // that the other entries were last told, by this entry or another one
+	toldAt sequoiasill.Millis
+}
+
+// earlyPace is the announced pace of an upstream that is not known yet.
+type earlyPace struct {
+	startedAt  sequoiasill.Millis
+	usual      float64
+	receivedAt sequoiasill.Millis
+}
+
+// paces is what the registrar knows of paces apart from single upstreams.
+type paces struct {
+	known  bool // the pace of some upstream is or was known
+	toldAt sequoiasill.Millis
+	early  map[string]earlyPace
+}
+
+// RecordPace records the pace that an upstream incarnation reported in a response to this entry, as a
+// factor, 0 for none. It returns the usual pace, and whether the other entries are to be told of it.
+func (r *Registrar) RecordPace(now sequoiasill.Millis, n sequoiasill.Replica, factor float64) (usual float64, tell bool) {
+	s, ok := r.replicas[n.Name]
+	if !ok || s.replica.StartedAt != n.StartedAt || !(factor > 0) {
+		return 0, false
+	}
+	r.paces.known = true
+	p := &s.pace
+	factor = boundPace(factor)
+	p.last, p.lastAt = factor, now
+	if !p.learn(now, factor) || !p.isNews(now) || r.paces.toldAt > 0 && now-r.paces.toldAt < paceTellGap {
+		return p.usual, false
+	}
+	p.told, p.toldAt, r.paces.toldAt = p.usual, now, now
+	return p.usual, true
+}
+
+// learn updates the usual pace by a report and reports whether the report confirms it. A lower report
+// corrects the usual pace at once, and higher ones only if they persist.
+func (p *pace) learn(now sequoiasill.Millis, factor float64) bool {
+	switch {
+	case p.usual == 0 || factor <= p.usual:
+		p.usual = factor
+	case factor <= p.usual*(1+paceTolerance):
+	default:
+		p.countRaised(now, factor)
+		if p.raised < paceRaiseSamples {
+			return false
+		}
+		p.usual = p.raisedTo
+	}
+	p.own, p.raised = true, 0
+	return true
+}
+
+func (p *pace) countRaised(now sequoiasill.Millis, factor float64) {
+	switch {
+	case p.raised == 0:
+		p.raisedTo = factor
+	case now-p.raisedAt < paceRaiseInterval:
+		p.raisedTo = min(p.raisedTo, factor)
+		return
+	}
+	p.raisedTo = min(p.raisedTo, factor)
+	p.raisedAt = now
+	p.raised++
+}
+
+// isNews reports whether the usual pace differs from the one that the other entries were told, or was
+// told long ago.
+func (p *pace) isNews(now sequoiasill.Millis) bool {
+	age := now - p.toldAt
+	return p.told == 0 || age >= PaceTTL/2 || age >= paceTellInterval && math.Abs(p.usual-p.told) > paceTellChange*p.told
+}
+
+// PaceGossiped records the usual pace of an upstream incarnation that another entry announced. It
+// returns false if this entry keeps its own figure, or if the announcement is of another incarnation. A
+// lower figure corrects the own one, like a report.
+func (r *Registrar) PaceGossiped(now sequoiasill.Millis, name string, startedAt sequoiasill.Millis, usual float64) bool {
+	if !(usual > 0) {
+		return false
+	}
+	usual = boundPace(usual)
+	s, ok := r.replicas[name]
+	if !ok || s.replica.StartedAt < startedAt {
+		r.keepEarlyPace(now, name, earlyPace{startedAt: startedAt, usual: usual, receivedAt: now})
+		return false
+	}
+	if s.replica.StartedAt != startedAt {
+		return false
+	}
+	r.paces.known = true
+	return s.pace.hear(now, usual)
+}
+
+func (p *pace) hear(now sequoiasill.Millis, usual float64) bool {
+	p.told, p.toldAt = usual, now
+	if p.own && usual >= p.usual || usual == p.usual {
+		return false
+	}
+	p.usual, p.raised = usual, 0
+	return true
+}
+
+func (r *Registrar) keepEarlyPace(now sequoiasill.Millis, name string, e earlyPace) {
+	if r.paces.early == nil {
+		r.paces.early = make(map[string]earlyPace)
+	}
+	if len(r.paces.early) >= maxEarlyPaces {
+		for other, o := range r.paces.early {
+			if now-o.receivedAt > earlyPaceTime {
+				delete(r.paces.early, other)
+			}
+		}
+	}
+	if old, known := r.paces.early[name]; known && old.startedAt > e.startedAt || !known && len(r.paces.early) >= maxEarlyPaces {
+		return
+	}
+	r.paces.early[name] = e
+}
+
+// applyEarlyPace applies an announcement that arrived before the upstream's registration.
+func (r *Registrar) applyEarlyPace(s *state) {
+	e, ok := r.paces.early[s.replica.Name]
+	if !ok || e.startedAt > s.replica.StartedAt {
+		return
+	}
+	delete(r.paces.early, s.replica.Name)
+	if e.startedAt == s.replica.StartedAt {
+		r.paces.known = true
+		s.pace.hear(e.receivedAt, e.usual)
+	}
+}
+
+func boundPace(factor float64) float64 { return min(max(factor, MinPace), MaxPace) }
+
+// expected returns the pace that a call sent now is expected to meet, 0 if none is known.
+func (p *pace) expected(now sequoiasill.Millis) float64 {
+	if p.last == 0 {
+		return p.usual
+	}
+	return p.usual + (p.last-p.usual)*math.Exp(-float64(max(now-p.lastAt, 0))/float64(paceDecay))
+}
+
+// setPaces sets the expected paces of the candidates of a service. Candidates without a known pace get
+// the mean of the usual ones, or 1 if none is known.
+func (r *Registrar) setPaces(now sequoiasill.Millis, candidates []Candidate) {
+	mean := 1.0
+	if r.paces.known {
+		mean = r.meanPace(candidates)
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		c.Pace = mean
+		if !r.paces.known {
+			continue
+		}
+		if s := r.replicas[c.Replica.Name]; s.pace.usual > 0 {
+			c.Pace = s.pace.expected(now)
+		}
+	}
+}
+
+func (r *Registrar) meanPace(candidates []Candidate) float64 {
+	sum, n := 0.0, 0
+	for i := range candidates {
+		if usual := r.replicas[candidates[i].Replica.Name].pace.usual; usual > 0 {
+			sum += usual
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
+}
+
+// UsualPaces returns the lowest and the highest usual pace of upstreams that are not removed, 0 if none
+// is known.
+func (r *Registrar) UsualPaces() (lowest, highest float64) {
+	for _, s := range r.replicas {
+		usual := s.pace.usual
+		if usual == 0 || s.removed {
+			continue
+		}
+		if lowest == 0 || usual < lowest {
+			lowest = usual
+		}
+		highest = max(highest, usual)
+	}
+	return lowest, highest
+}
--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -51,6 +51,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	Pace    float64 // time that work takes at the moment, as a factor, 0 if it is unknown
 }
 
 // Outcome is the result of a call to an upstream.
@@ -77,6 +78,8 @@
 	FailureRate    float64            // failure rate of its recent calls
 	Limited        bool               // it has a rate limit: each call needs a permit
 	ReportAge      sequoiasill.Millis // age of the last report, -1 if there is none
+	Pace           float64            // time that work is expected to take, as a factor, 1 if no pace is known in the service
+	Connected      bool               // this entry holds an idle connection to it; set by the dispatcher
 }
 
 // Registrar holds the state of all upstreams. It is not safe for concurrent use.
@@ -89,6 +92,7 @@
 	rand         *rand.Rand
 	entries      int                     // that send calls to the upstreams
 	brittle      map[string]*brittleness // by service
+	paces        paces
 }
 
 // drainNotice records that an incarnation of an upstream announced its shutdown. It
@@ -125,6 +129,7 @@
 	backoffUntil     sequoiasill.Millis
 	pausedUntil      sequoiasill.Millis // end of the pause that it requested
 	limit            limit
+	pace             pace
 	slowStartWindow  int                // maximum calls in flight while it resumes after a pause, 0 for no limit
 	rounding         float64            // of this entry's share of its slots, from 0 to 1
 	rejectedUntil    sequoiasill.Millis // end of the time without calls after a rejection while it is brittle
@@ -153,7 +158,7 @@
 			next.inFlight, next.prefill = s.inFlight, s.prefill
 		}
 		if known && n.StartedAt == s.replica.StartedAt {
-			next.limit = s.limit
+			next.limit, next.pace = s.limit, s.pace
 		}
 		s = next
 		r.replicas[n.Name] = s
@@ -162,6 +167,7 @@
 		r.recordDrain(now, n.Name, n.StartedAt)
 	}
 	s.replica = n
+	r.applyEarlyPace(s)
 	s.removeAt = 0
 	s.setDraining(now, r.isDraining(n))
 	return true
@@ -427,6 +433,7 @@
 			out = append(out, s.candidate(now, r.opts))
 		}
 	}
+	r.setPaces(now, out)
 	if brittle && len(out) > 0 {
 		out = r.sampleCandidates(out)
 	}
