--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -167,6 +167,7 @@
 	if t.limit.Limited {
 		args = append(args, "limit", t.limit.PerSecond)
 	}
+	args = append(args, t.paceFields()...)
 	if parts := t.call.Prompt.SharedPartIDs(); parts != "" {
 		args = append(args, "parts", parts)
 	}
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -93,6 +93,8 @@
 	// AnnounceBrittle announces that the upstreams of a service are brittle, and how many rejected
 	// calls in a second each withstands.
 	AnnounceBrittle(service string, rejections float64)
+	// AnnouncePace announces the time that work usually takes at an upstream incarnation, as a factor.
+	AnnouncePace(upstream string, startedAt sequoiasill.Millis, usual float64)
 	// AnnounceDraining announces that an upstream incarnation is draining.
 	AnnounceDraining(upstream string, startedAt sequoiasill.Millis)
 	Limits
@@ -166,6 +168,8 @@
 	UpstreamSignal(what, source string)
 	// PermitDecided counts the decisions on permits for calls to rate-limited upstreams.
 	PermitDecided(granted, lifted bool)
+	// ChosenByConnection counts a choice of an upstream that an idle connection to it decided.
+	ChosenByConnection()
 	// CrashCharged counts a call that is charged with the crash of its upstream.
 	CrashCharged()
 	// ShutdownEnded counts a call that the shutdown refused or ended, by how.
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -212,6 +212,12 @@
 	u.limits = append(u.limits, fmt.Sprintf("%s brittle %g", service, rejections))
 }
 
+func (u *fakePeers) AnnouncePace(upstream string, _ sequoiasill.Millis, usual float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.limits = append(u.limits, fmt.Sprintf("%s pace %g", upstream, usual))
+}
+
 func (u *fakePeers) AnnounceLimit(up throttler.Upstream, perSecond float64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/relay/dispatcher/feedback.go
+++ b/relay/dispatcher/feedback.go
@@ -14,6 +14,7 @@
 	r := t.choice.Replica
 	if a.HasLoad {
 		t.d.WithRegistrar(func(g *registrar.Registrar) { g.RecordLoad(t.d.clock.Now(), r.Name, a.Load) })
+		t.d.recordPace(r, a.Load.Pace)
 	}
 	if a.Draining && t.d.RecordDraining(r.Name, r.StartedAt, "answer") {
 		t.d.peers.AnnounceDraining(r.Name, r.StartedAt)
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -324,12 +324,16 @@
 func (d *Dispatcher) countSend(j *job, choice assigner.Choice) *rationer.Send {
 	now := d.clock.Now()
 	d.registrar.CallSent(choice.Replica.Name, choice.Prefill)
+	if choice.ByConnection {
+		d.meter.ChosenByConnection()
+	}
 	d.addEngineLoad(now, j, choice)
 	return d.rationer.Sent(now, j.retryBudget, choice.Replica.Name)
 }
 
 // chooseFrom chooses one of the candidates. The caller holds the lock.
 func (d *Dispatcher) chooseFrom(j *job, candidates []registrar.Candidate) (assigner.Choice, bool) {
+	d.markConnected(candidates)
 	return d.assigner.Choose(assigner.Request{
 		Zone: d.opts.Zone, Engine: j.engine, Prompt: j.call.Prompt, Tried: j.tried,
 	}, candidates)
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -132,6 +132,8 @@
 	RecordLimit(u throttler.Upstream, perSecond float64, source string)
 	RecordLimitLifted(u throttler.Upstream, source string)
 	RecordBrittle(service string, rejections float64)
+	// RecordPace records the usual pace of an upstream incarnation that another entry announced.
+	RecordPace(upstream string, startedAt sequoiasill.Millis, usual float64)
 }
 
 // Moves receives facts about version moves.
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -109,6 +109,13 @@
 	e.facts["brittle "+service] = fmt.Sprint(rejections)
 }
 
+// RecordPace records the usual pace of an upstream as a fact.
+func (e *entry) RecordPace(upstream string, startedAt sequoiasill.Millis, usual float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.facts["pace "+upstream] = fmt.Sprint(startedAt, usual)
+}
+
 // SetEntries records the number of entries among which limits are divided.
 func (e *entry) SetEntries(n int) {
 	e.mu.Lock()
--- a/relay/exchanger/facts.go
+++ b/relay/exchanger/facts.go
@@ -84,6 +84,8 @@
 		e.handleDemand(strings.TrimPrefix(f.Key, keyDemand), f)
 	case strings.HasPrefix(f.Key, keyBrittle):
 		e.handleBrittle(strings.TrimPrefix(f.Key, keyBrittle), f)
+	case strings.HasPrefix(f.Key, keyPace):
+		e.handlePace(strings.TrimPrefix(f.Key, keyPace), f)
 	case strings.HasPrefix(f.Key, keyLimit):
 		e.handleLimit(strings.TrimPrefix(f.Key, keyLimit), f)
 	case strings.HasPrefix(f.Key, keyAsk):
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -86,6 +86,9 @@
 	m.count(fmt.Sprintf(`sequoia_limit_permits_total{end=%q}`, end))
 }
 
+// ChosenByConnection counts a choice of an upstream that an idle connection to it decided.
+func (m *Meter) ChosenByConnection() { m.count("sequoia_chosen_by_connection_total") }
+
 // EntryUnusable counts an entry of the store, by kind, that cannot be used as another writer left it.
 func (m *Meter) EntryUnusable(kind string) {
 	m.count(fmt.Sprintf(`sequoia_unusable_entries_total{kind=%q}`, kind))
--- a/relay/meter/meter_test.go
+++ b/relay/meter/meter_test.go
@@ -21,6 +21,7 @@
 	m.RetryRequested("model", false)
 	m.CountCall("watch", "ok")
 	m.EntryUnusable("servers")
+	m.ChosenByConnection()
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for _, line := range []string{
@@ -34,6 +35,7 @@
 		`sequoia_repeats_total{service="model",allowed="false"} 1`,
 		`sequoia_platform_calls_total{op="watch",end="ok"} 1`,
 		`sequoia_unusable_entries_total{kind="servers"} 1`,
+		"sequoia_chosen_by_connection_total 1",
 		"process_resident_memory_bytes",
 	} {
 		if !strings.Contains(w.Body.String(), line) {
