Tests: paces and idle connections

The pace is bounded by half of the service's mean, as queues of 150 calls formed at three upstreams that reported 1 %.

--- a/decide/assigner/assigner_test.go
+++ b/decide/assigner/assigner_test.go
@@ -42,6 +42,39 @@
 			change: func(c []registrar.Candidate) { c[0].Replica.Zone, c[1].Replica.Zone = "b", "c" },
 			want:   "r2",
 		},
+		"the faster of two with the same calls": {
+			change: func(c []registrar.Candidate) {
+				c[0].Pace, c[1].Pace, c[2].Pace = 1.7, 0.7, 1.7
+				c[0].InFlight, c[1].InFlight, c[2].InFlight = 32, 32, 32
+			},
+			want: "r1",
+		},
+		"the slower one when the faster has many more calls": {
+			change: func(c []registrar.Candidate) {
+				c[0].Pace, c[1].Pace, c[2].Pace = 0.7, 0.7, 1.7
+				c[0].InFlight, c[1].InFlight, c[2].InFlight = 64, 64, 8
+			},
+			want: "r2",
+		},
+		"the connected one of equals": {
+			change: func(c []registrar.Candidate) {
+				c[1].Connected = true
+				for i := range c {
+					c[i].Replica.Slots = 4
+				}
+			},
+			want: "r1",
+		},
+		"not the connected one with two more calls": {
+			change: func(c []registrar.Candidate) {
+				c[1].Connected, c[1].InFlight = true, 2
+				c[0].FailureRate = 0.5
+				for i := range c {
+					c[i].Replica.Slots = 4
+				}
+			},
+			want: "r2",
+		},
 		"none that was tried": {
 			req:  assigner.Request{Tried: map[string]bool{"r0": true, "r2": true}},
 			want: "r1",
@@ -95,6 +128,36 @@
 	}
 }
 
+// Guards against a preference for connections that changes choices where none or all are connected, and
+// against one that is logged where it decided nothing.
+func TestConnectionDecides(t *testing.T) {
+	tests := map[string]struct {
+		connected []bool
+		want      bool // some choices are decided by a connection
+	}{"none": {[]bool{false, false, false}, false}, "all": {[]bool{true, true, true}, false}, "one": {[]bool{false, true, false}, true}}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			plain, a := assigner.New(assigner.DefaultOptions(), 1), assigner.New(assigner.DefaultOptions(), 1)
+			decided := false
+			for range 50 {
+				c := candidates(3)
+				without, _ := plain.Choose(assigner.Request{Zone: "a"}, c)
+				for i := range c {
+					c[i].Connected = tc.connected[i]
+				}
+				got, _ := a.Choose(assigner.Request{Zone: "a"}, c)
+				decided = decided || got.ByConnection
+				if got.ByConnection != (got.Replica.Name != without.Replica.Name) || !tc.want && got.Cost != without.Cost {
+					t.Fatalf("choice %+v, without connections %+v", got, without)
+				}
+			}
+			if decided != tc.want {
+				t.Errorf("decided by a connection: %t, want %t", decided, tc.want)
+			}
+		})
+	}
+}
+
 // Home upstreams are balanced: of 900 parts over nine upstreams, none is the home of more
 // than twice the average.
 func TestHomesSpread(t *testing.T) {
--- a/decide/registrar/pace.go
+++ b/decide/registrar/pace.go
@@ -12,6 +12,9 @@
 	// upstream with wrong reports neither attracts nor loses all calls.
 	MinPace = 0.25
 	MaxPace = 8.0
+	// minPaceOfMean bounds the factor to a fraction of the mean of the service, so that a few upstreams with
+	// figures that are too low do not gather queues.
+	minPaceOfMean = 0.5
 	// paceDecay is the time constant with which the last report of a pace gives way to the usual one.
 	// Upstreams are slower than usual for tenths of a second.
 	paceDecay = 150 * sequoiasill.Millis(1)
@@ -206,7 +209,7 @@
 			continue
 		}
 		if s := r.replicas[c.Replica.Name]; s.pace.usual > 0 {
-			c.Pace = s.pace.expected(now)
+			c.Pace = max(s.pace.expected(now), mean*minPaceOfMean)
 		}
 	}
 }
--- /dev/null
+++ b/decide/registrar/pace_test.go
@@ -0,0 +1,104 @@
+package registrar_test
+
+import (
+	"math"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/registrar"
+)
+
+// Guards against a pace that a wrong, missing or outdated report leaves behind.
+func TestExpectedPace(t *testing.T) {
+	first := sequoiasill.Replica{Name: "a", Service: "model", Slots: 16, Revision: 1, StartedAt: 500}
+	second := first
+	second.Revision, second.StartedAt = 2, 900
+	report := func(r *registrar.Registrar, n sequoiasill.Replica, at sequoiasill.Millis, figures ...float64) {
+		for _, f := range figures {
+			r.RecordPace(at, n, f)
+			at += 600
+		}
+	}
+	tests := map[string]struct {
+		play func(r *registrar.Registrar)
+		at   sequoiasill.Millis
+		want map[string]float64
+	}{
+		"none known":                          {func(*registrar.Registrar) {}, 1000, map[string]float64{"a": 1, "b": 1}},
+		"three figures":                       {func(r *registrar.Registrar) { report(r, first, 1000, 0) }, 1000, map[string]float64{"a": 1, "b": 1}},
+		"one report suffices":                 {func(r *registrar.Registrar) { report(r, first, 1000, 1.7) }, 9000, map[string]float64{"a": 1.7, "b": 1.7}},
+		"a mixture of three and four figures": {func(r *registrar.Registrar) { report(r, first, 1000, 1.7, 0, 0) }, 9000, map[string]float64{"a": 1.7, "b": 1.7}},
+		"just reported busy":                  {func(r *registrar.Registrar) { report(r, first, 1000, 1.6, 4) }, 1600, map[string]float64{"a": 4, "b": 1.6}},
+		"busy some time ago":                  {func(r *registrar.Registrar) { report(r, first, 1000, 1.6, 4) }, 1750, map[string]float64{"a": 1.6 + 2.4*math.Exp(-1), "b": 1.6}},
+		"reports stop while it is busy":       {func(r *registrar.Registrar) { report(r, first, 1000, 1.6, 4) }, 60_000, map[string]float64{"a": 1.6, "b": 1.6}},
+		"first reported while busy":           {func(r *registrar.Registrar) { report(r, first, 1000, 4, 1.6) }, 9000, map[string]float64{"a": 1.6, "b": 1.6}},
+		"slower for good":                     {func(r *registrar.Registrar) { report(r, first, 1000, 1, 4, 3, 5, 4) }, 9000, map[string]float64{"a": 3, "b": 3}},
+		"slower in one busy moment": {func(r *registrar.Registrar) {
+			report(r, first, 1000, 1)
+			for at := sequoiasill.Millis(1600); at < 2000; at += 50 {
+				report(r, first, at, 3)
+			}
+		}, 9000, map[string]float64{"a": 1, "b": 1}},
+		"one report that lies":           {func(r *registrar.Registrar) { report(r, first, 1000, 2, 0.01, 2, 2, 2, 2) }, 9000, map[string]float64{"a": 2, "b": 2}},
+		"out of range":                   {func(r *registrar.Registrar) { report(r, first, 1000, 100) }, 9000, map[string]float64{"a": 8, "b": 8}},
+		"not a number":                   {func(r *registrar.Registrar) { report(r, first, 1000, math.NaN(), -1) }, 9000, map[string]float64{"a": 1, "b": 1}},
+		"restarted":                      {func(r *registrar.Registrar) { report(r, first, 1000, 2); r.Announce(1100, second) }, 1100, map[string]float64{"a": 1, "b": 1}},
+		"a late response of the old":     {func(r *registrar.Registrar) { r.Announce(1100, second); report(r, first, 1200, 2) }, 1200, map[string]float64{"a": 1, "b": 1}},
+		"gossip on the old":              {func(r *registrar.Registrar) { r.Announce(1100, second); r.PaceGossiped(1200, "a", 500, 2) }, 1200, map[string]float64{"a": 1, "b": 1}},
+		"gossip before the registration": {func(r *registrar.Registrar) { r.PaceGossiped(1000, "a", 900, 2); r.Announce(1100, second) }, 1200, map[string]float64{"a": 2, "b": 2}},
+		"higher by gossip":               {func(r *registrar.Registrar) { report(r, first, 1000, 1.5); r.PaceGossiped(1100, "a", 500, 2) }, 9000, map[string]float64{"a": 1.5, "b": 1.5}},
+		"lower by gossip":                {func(r *registrar.Registrar) { report(r, first, 1000, 1.5); r.PaceGossiped(1100, "a", 500, 1) }, 9000, map[string]float64{"a": 1, "b": 1}},
+		"far below the others": {func(r *registrar.Registrar) {
+			r.PaceGossiped(1000, "a", 500, 0.25)
+			r.PaceGossiped(1000, "b", 0, 1.75)
+		}, 9000, map[string]float64{"a": 0.5, "b": 1.75}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(registrar.DefaultOptions(), 1)
+			r.Announce(1000, first)
+			r.Announce(1000, sequoiasill.Replica{Name: "b", Service: "model", Slots: 16, Revision: 1})
+			tc.play(r)
+			got := make(map[string]float64)
+			for _, c := range r.Candidates(tc.at, "model") {
+				got[c.Replica.Name] = c.Pace
+			}
+			if diff := cmp.Diff(tc.want, got, cmpopts.EquateApprox(0, 1e-9)); diff != "" {
+				t.Errorf("paces (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against entries that announce each report, or one that others have announced.
+func TestPaceIsTold(t *testing.T) {
+	r := registrar.New(registrar.DefaultOptions(), 1)
+	u := sequoiasill.Replica{Name: "a", Service: "model", Slots: 16, Revision: 1}
+	r.Announce(1000, u)
+	type told struct {
+		At    sequoiasill.Millis
+		Usual float64
+	}
+	var got []told
+	for _, step := range []struct {
+		at    sequoiasill.Millis
+		pace  float64
+		heard bool
+	}{
+		{1000, 2, false}, {2000, 1, false}, // lower, but too soon
+		{3000, 4, false}, {7000, 1, false}, {8000, 0.9, false}, {20_000, 0.9, false},
+		{21_000, 0.5, true}, {30_000, 0.5, false}, {400_000, 0.5, false},
+	} {
+		if step.heard {
+			r.PaceGossiped(step.at, "a", 0, step.pace)
+		} else if usual, tell := r.RecordPace(step.at, u, step.pace); tell {
+			got = append(got, told{step.at, usual})
+		}
+	}
+	if diff := cmp.Diff([]told{{1000, 2}, {7000, 1}, {400_000, 0.5}}, got); diff != "" {
+		t.Errorf("told (-want +got):\n%s", diff)
+	}
+}
