--- a/decide/assigner/pace_test.go
+++ b/decide/assigner/pace_test.go
@@ -23,6 +23,7 @@
 	paceTarget                            = 500 * sequoiasill.Millis(1)
 	paceTime                              = 12 * sequoiasill.Second
 	paceGossipTime                        = 3 * sequoiasill.Second
+	paceIdleTime                          = 1500 * sequoiasill.Millis(1) // after which an idle connection is closed
 )
 
 // paceWorld plays entries that send calls to upstreams of two speeds. Entries learn of an upstream
@@ -30,6 +31,9 @@
 type paceWorld struct {
 	brittleWorld
 	report    func(u int, pace float64) float64 // what an upstream reports, 0 for no pace
+	connects  bool                              // entries prefer upstreams to which they hold a connection
+	idle      map[*brittleEntry]map[string]sequoiasill.Millis
+	opened    int
 	upstreams []*paceUpstream
 	calls     int
 	inTime    int
@@ -45,7 +49,7 @@
 }
 
 func newPaceWorld(seed uint64, report func(u int, pace float64) float64) *paceWorld {
-	w := &paceWorld{brittleWorld: brittleWorld{rand: rand.New(rand.NewPCG(seed, 0)), now: 1000}, report: report}
+	w := &paceWorld{brittleWorld: brittleWorld{rand: rand.New(rand.NewPCG(seed, 0)), now: 1000}, report: report, idle: make(map[*brittleEntry]map[string]sequoiasill.Millis)}
 	for i := range paceUpstreams {
 		u := &paceUpstream{replica: sequoiasill.Replica{Name: fmt.Sprint("u", i), Service: "model", Slots: paceSlots, Revision: 1}, usual: paceFast}
 		if i%3 == 0 {
@@ -60,6 +64,7 @@
 			e.registrar.Announce(w.now, u.replica)
 		}
 		w.entries = append(w.entries, e)
+		w.idle[e] = make(map[string]sequoiasill.Millis)
 	}
 	return w
 }
@@ -72,10 +77,18 @@
 }
 
 func (w *paceWorld) call(e *brittleEntry) {
-	choice, ok := e.assigner.Choose(assigner.Request{Engine: true, Prompt: sequoiasill.Prompt{Tokens: 3000}}, e.registrar.Candidates(w.now, "model"))
+	candidates := e.registrar.Candidates(w.now, "model")
+	for i := range candidates {
+		candidates[i].Connected = w.connects && w.idle[e][candidates[i].Replica.Name] > w.now
+	}
+	choice, ok := e.assigner.Choose(assigner.Request{Engine: true, Prompt: sequoiasill.Prompt{Tokens: 3000}}, candidates)
 	if !ok {
 		return
 	}
+	if w.idle[e][choice.Replica.Name] <= w.now {
+		w.opened++
+	}
+	w.idle[e][choice.Replica.Name] = 0
 	var i int
 	_, _ = fmt.Sscanf(choice.Replica.Name, "u%d", &i)
 	u, sent := w.upstreams[i], w.now
@@ -109,6 +122,7 @@
 			next()
 		}
 		e.registrar.CallEnded(w.now, u.replica.Name, prefill, registrar.Succeeded)
+		w.idle[e][u.replica.Name] = w.now + paceIdleTime
 		w.calls++
 		if w.now-sent <= paceTarget {
 			w.inTime++
@@ -152,26 +166,35 @@
 	known := func(_ int, pace float64) float64 { return pace }
 	tests := map[string]struct {
 		report          func(u int, pace float64) float64
+		connects        bool
 		atLeast, atMost float64 // share of calls answered within the target
 		longest         int     // most calls at one upstream at a time
+		mostOpened      float64 // share of calls for which a connection was opened
 	}{
-		"paces ignored":                     {func(int, float64) float64 { return 0 }, 0, 0.76, 45},
-		"paces known":                       {known, 0.82, 1, 45},
-		"half of the upstreams report none": {func(u int, pace float64) float64 { return float64(u%2) * pace }, 0.71, 1, 55},
+		"paces ignored":                        {func(int, float64) float64 { return 0 }, false, 0, 0.76, 40, 1},
+		"paces ignored, connections preferred": {func(int, float64) float64 { return 0 }, true, 0, 0.76, 40, 0.88},
+		"paces known":                          {known, false, 0.84, 1, 38, 0.45},
+		"paces known, connections preferred":   {known, true, 0.84, 1, 38, 0.3},
+		"half of the upstreams report none":    {func(u int, pace float64) float64 { return float64(u%2) * pace }, false, 0.76, 1, 45, 1},
 		"three slow upstreams report that they are fast": {func(u int, pace float64) float64 {
 			if u%3 == 0 && u < 9 {
 				return 0.01
 			}
 			return pace
-		}, 0.8, 1, 65},
+		}, false, 0.81, 1, 65, 1},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(2) {
 				w := newPaceWorld(seed, tc.report)
+				w.connects = tc.connects
 				got := w.run()
-				t.Logf("seed %d: %.3f of %d calls within the target, at most %d calls at an upstream", seed, got, w.calls, w.longest)
+				opened := float64(w.opened) / float64(w.calls)
+				t.Logf("seed %d: %.3f of %d calls within the target, at most %d calls at an upstream, connections opened for %.2f", seed, got, w.calls, w.longest, opened)
+				if opened > tc.mostOpened {
+					t.Errorf("seed %d: connections opened for %.2f of the calls, want at most %.2f", seed, opened, tc.mostOpened)
+				}
 				if got < tc.atLeast || got > tc.atMost || w.longest > tc.longest {
 					t.Errorf("seed %d: %.3f within the target, want %.2f to %.2f; %d calls at an upstream, want at most %d", seed, got, tc.atLeast, tc.atMost, w.longest, tc.longest)
 				}
--- a/decide/registrar/pace.go
+++ b/decide/registrar/pace.go
@@ -35,6 +35,14 @@
 	// PaceTTL is how long an announcement is gossiped. It is renewed after half of that time, for entries
 	// that have started since.
 	PaceTTL = 10 * sequoiasill.Minute
+	// typicalLoadWeight is the weight of a new report in the typical load of an upstream.
+	typicalLoadWeight = 0.3
+	// maxTypicalLoad bounds a typical load, in calls per slot, against reports of absurd numbers.
+	maxTypicalLoad = 2
+	// typicalLoadDecay is the time constant with which a typical load gives way to the mean of the service
+	// without reports, so that an upstream that was full once gets calls again. An entry calls an upstream
+	// about once in six seconds.
+	typicalLoadDecay = 10 * sequoiasill.Second
 	// maxEarlyPaces is the number of announced paces that are kept for upstreams that are not known yet,
 	// and earlyPaceTime how long. The largest deployments have 2,700 upstreams.
 	maxEarlyPaces = 4096
@@ -52,6 +60,9 @@
 	raisedTo float64            // the lowest of them
 	raisedAt sequoiasill.Millis // time of the last one that counted
 
+	load  float64 // typical number of calls of other entries at the upstream
+	loads int     // reports behind it
+
 	told   float64 // that the other entries were last told, by this entry or another one
 	toldAt sequoiasill.Millis
 }
@@ -71,7 +82,7 @@
 }
 
 // RecordPace records the pace that an upstream incarnation reported in a response to this entry, as a
-// factor, 0 for none. It returns the usual pace, and whether the other entries are to be told of it.
+// factor, 0 for none. The load in the same response must be recorded before. It returns the usual pace, and whether the other entries are to be told of it.
 func (r *Registrar) RecordPace(now sequoiasill.Millis, n sequoiasill.Replica, factor float64) (usual float64, tell bool) {
 	s, ok := r.replicas[n.Name]
 	if !ok || s.replica.StartedAt != n.StartedAt || !(factor > 0) {
@@ -81,6 +92,7 @@
 	p := &s.pace
 	factor = boundPace(factor)
 	p.last, p.lastAt = factor, now
+	p.learnLoad(s)
 	if !p.learn(now, factor) || !p.isNews(now) || r.paces.toldAt > 0 && now-r.paces.toldAt < paceTellGap {
 		return p.usual, false
 	}
@@ -187,6 +199,12 @@
 
 func boundPace(factor float64) float64 { return min(max(factor, MinPace), MaxPace) }
 
+// isKnown reports whether a usual pace is known. One that other entries announced, and that none renews,
+// lapses: it may be that of a busy moment, for which all have avoided the upstream since.
+func (p *pace) isKnown(now sequoiasill.Millis) bool {
+	return p.usual > 0 && (p.own || now-p.toldAt < PaceTTL)
+}
+
 // expected returns the pace that a call sent now is expected to meet, 0 if none is known.
 func (p *pace) expected(now sequoiasill.Millis) float64 {
 	if p.last == 0 {
@@ -195,37 +213,73 @@
 	return p.usual + (p.last-p.usual)*math.Exp(-float64(max(now-p.lastAt, 0))/float64(paceDecay))
 }
 
+// learnLoad updates the typical load by the last report.
+func (p *pace) learnLoad(s *state) {
+	load := min(float64(s.othersAtReport()), maxTypicalLoad*float64(max(s.replica.Slots, 1)))
+	p.loads++
+	if p.loads == 1 {
+		p.load = load
+		return
+	}
+	p.load += typicalLoadWeight * (load - p.load)
+}
+
 // setPaces sets the expected paces of the candidates of a service. Candidates without a known pace get
-// the mean of the usual ones, or 1 if none is known.
+// the mean of the usual ones, or 1 if none is known. The load of an upstream with a known pace and
+// without a recent report is taken to be the typical one: entries that take it for idle all choose the
+// same fast upstreams.
 func (r *Registrar) setPaces(now sequoiasill.Millis, candidates []Candidate) {
-	mean := 1.0
+	mean := typical{pace: 1}
 	if r.paces.known {
-		mean = r.meanPace(candidates)
+		mean = r.meanOf(now, candidates)
 	}
 	for i := range candidates {
 		c := &candidates[i]
-		c.Pace = mean
-		if !r.paces.known {
+		c.Pace = mean.pace
+		if !mean.known {
 			continue
 		}
-		if s := r.replicas[c.Replica.Name]; s.pace.usual > 0 {
-			c.Pace = max(s.pace.expected(now), mean*minPaceOfMean)
+		s := r.replicas[c.Replica.Name]
+		if !s.pace.isKnown(now) {
+			continue
+		}
+		c.Pace = max(s.pace.expected(now), mean.pace*minPaceOfMean)
+		load := mean.load
+		if s.pace.loads > 0 {
+			load += (s.pace.load - load) * math.Exp(-float64(max(now-s.pace.lastAt, 0))/float64(typicalLoadDecay))
 		}
+		c.OthersInFlight += (1 - s.reportWeight(now, r.opts)) * load
 	}
 }
 
-func (r *Registrar) meanPace(candidates []Candidate) float64 {
-	sum, n := 0.0, 0
+// typical holds the means of the candidates of a service whose paces and loads are known.
+type typical struct {
+	pace  float64 // 1 if none is known
+	load  float64
+	known bool // some pace is known
+}
+
+func (r *Registrar) meanOf(now sequoiasill.Millis, candidates []Candidate) typical {
+	out := typical{pace: 1}
+	var pace, load, paces, loads float64
 	for i := range candidates {
-		if usual := r.replicas[candidates[i].Replica.Name].pace.usual; usual > 0 {
-			sum += usual
-			n++
+		p := &r.replicas[candidates[i].Replica.Name].pace
+		if p.isKnown(now) {
+			pace += p.usual
+			paces++
+		}
+		if p.loads > 0 {
+			load += p.load
+			loads++
 		}
 	}
-	if n == 0 {
-		return 1
+	if paces > 0 {
+		out.pace, out.known = pace/paces, true
+	}
+	if loads > 0 {
+		out.load = load / loads
 	}
-	return sum / float64(n)
+	return out
 }
 
 // UsualPaces returns the lowest and the highest usual pace of upstreams that are not removed, 0 if none
--- a/decide/registrar/pace_test.go
+++ b/decide/registrar/pace_test.go
@@ -51,6 +51,7 @@
 		"gossip before the registration": {func(r *registrar.Registrar) { r.PaceGossiped(1000, "a", 900, 2); r.Announce(1100, second) }, 1200, map[string]float64{"a": 2, "b": 2}},
 		"higher by gossip":               {func(r *registrar.Registrar) { report(r, first, 1000, 1.5); r.PaceGossiped(1100, "a", 500, 2) }, 9000, map[string]float64{"a": 1.5, "b": 1.5}},
 		"lower by gossip":                {func(r *registrar.Registrar) { report(r, first, 1000, 1.5); r.PaceGossiped(1100, "a", 500, 1) }, 9000, map[string]float64{"a": 1, "b": 1}},
+		"gossip that is not renewed":     {func(r *registrar.Registrar) { r.PaceGossiped(1000, "a", 500, 4) }, 601_000, map[string]float64{"a": 1, "b": 1}},
 		"far below the others": {func(r *registrar.Registrar) {
 			r.PaceGossiped(1000, "a", 500, 0.25)
 			r.PaceGossiped(1000, "b", 0, 1.75)
@@ -73,6 +74,34 @@
 	}
 }
 
+// Guards against a herd at upstreams that look idle for want of a recent report, against upstreams that are
+// avoided for good because they were full once, and against changes where no paces are reported.
+func TestTypicalLoad(t *testing.T) {
+	tests := map[string]struct {
+		pace     float64
+		min, max float64 // estimated calls of others 20 s after a report that the upstream is full
+	}{"no paces": {0, 0, 1}, "paces": {1.7, 8, 20}}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(registrar.DefaultOptions(), 1)
+			for _, n := range []sequoiasill.Replica{{Name: "a", Service: "model", Slots: 8, Revision: 1}, {Name: "b", Service: "model", Slots: 8, Revision: 1}} {
+				r.Announce(1000, n)
+				running := map[string]int{"a": math.MaxInt32, "b": 0}[n.Name]
+				r.RecordLoad(1000, n.Name, registrar.Load{Running: running, Slots: 8})
+				r.RecordPace(1000, n, tc.pace)
+			}
+			r.RecordLoad(5000, "a", registrar.Load{Running: 4, Slots: 8})
+			c := r.Candidates(21_000, "model")
+			if got := c[0].OthersInFlight; got < tc.min || got > tc.max {
+				t.Errorf("calls of others at a full upstream %g, want %g to %g", got, tc.min, tc.max)
+			}
+			if late := r.Candidates(200_000, "model"); math.Abs(late[0].OthersInFlight-late[1].OthersInFlight) > 0.1 {
+				t.Errorf("calls of others %g and %g, want them to be equal in the end", late[0].OthersInFlight, late[1].OthersInFlight)
+			}
+		})
+	}
+}
+
 // Guards against entries that announce each report, or one that others have announced.
 func TestPaceIsTold(t *testing.T) {
 	r := registrar.New(registrar.DefaultOptions(), 1)
--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -455,13 +455,26 @@
 	c.FailureRate = s.failures / (s.calls + priorCalls)
 	if s.reported {
 		c.ReportAge = now - s.loadAt
-		weight := math.Exp(-float64(now-s.loadAt) / float64(opts.ReportDecay))
-		c.OthersInFlight = weight * float64(max(s.load.Running+s.load.Waiting-s.inFlightAtReport, 0))
+		weight := s.reportWeight(now, opts)
+		c.OthersInFlight = weight * float64(s.othersAtReport())
 		c.Waiting = weight * float64(s.load.Waiting)
 	}
 	return c
 }
 
+// reportWeight returns the weight of the last load report, 0 if there is none.
+func (s *state) reportWeight(now sequoiasill.Millis, opts Options) float64 {
+	if !s.reported {
+		return 0
+	}
+	return math.Exp(-float64(now-s.loadAt) / float64(opts.ReportDecay))
+}
+
+// othersAtReport returns the number of calls of other entries in the last load report.
+func (s *state) othersAtReport() int {
+	return max(s.load.Running+s.load.Waiting-s.inFlightAtReport, 0)
+}
+
 // Probeable returns the upstreams of a service to which a connection may be opened as a probe.
 func (r *Registrar) Probeable(now sequoiasill.Millis, service string) []sequoiasill.Replica {
 	var out []sequoiasill.Replica
