--- a/decide/registrar/pace.go
+++ b/decide/registrar/pace.go
@@ -43,6 +43,9 @@
 	// without reports, so that an upstream that was full once gets calls again. An entry calls an upstream
 	// about once in six seconds.
 	typicalLoadDecay = 10 * sequoiasill.Second
+	// minExploringShare is the minimum share of an entry's calls for which upstreams of which it knows nothing count
+	// as idle. With all calls, up to 58 met at a new upstream; with none, it got no calls for seconds.
+	minExploringShare = 0.05
 	// maxEarlyPaces is the number of announced paces that are kept for upstreams that are not known yet,
 	// and earlyPaceTime how long. The largest deployments have 2,700 upstreams.
 	maxEarlyPaces = 4096
@@ -82,7 +85,8 @@
 }
 
 // RecordPace records the pace that an upstream incarnation reported in a response to this entry, as a
-// factor, 0 for none. The load in the same response must be recorded before. It returns the usual pace, and whether the other entries are to be told of it.
+// factor, 0 for none. The load in the same response must be recorded before. It returns the usual pace,
+// and whether the other entries are to be told of it.
 func (r *Registrar) RecordPace(now sequoiasill.Millis, n sequoiasill.Replica, factor float64) (usual float64, tell bool) {
 	s, ok := r.replicas[n.Name]
 	if !ok || s.replica.StartedAt != n.StartedAt || !(factor > 0) {
@@ -226,13 +230,15 @@
 
 // setPaces sets the expected paces of the candidates of a service. Candidates without a known pace get
 // the mean of the usual ones, or 1 if none is known. The load of an upstream with a known pace and
-// without a recent report is taken to be the typical one: entries that take it for idle all choose the
-// same fast upstreams.
+// without a recent report is taken to be the typical one, and that of an upstream of which nothing is known
+// to be the mean, except for the calls that explore: entries that take them for idle all choose the
+// same fast or new upstreams.
 func (r *Registrar) setPaces(now sequoiasill.Millis, candidates []Candidate) {
 	mean := typical{pace: 1}
 	if r.paces.known {
 		mean = r.meanOf(now, candidates)
 	}
+	explores := mean.unknown > 0 && r.rand.Float64() < max(mean.unknown, minExploringShare)
 	for i := range candidates {
 		c := &candidates[i]
 		c.Pace = mean.pace
@@ -240,10 +246,13 @@
 			continue
 		}
 		s := r.replicas[c.Replica.Name]
-		if !s.pace.isKnown(now) {
+		isKnown := s.pace.isKnown(now)
+		if isKnown {
+			c.Pace = max(s.pace.expected(now), mean.pace*minPaceOfMean)
+		}
+		if !isKnown && (s.reported || explores) {
 			continue
 		}
-		c.Pace = max(s.pace.expected(now), mean.pace*minPaceOfMean)
 		load := mean.load
 		if s.pace.loads > 0 {
 			load += (s.pace.load - load) * math.Exp(-float64(max(now-s.pace.lastAt, 0))/float64(typicalLoadDecay))
@@ -257,16 +266,22 @@
 	pace  float64 // 1 if none is known
 	load  float64
 	known bool // some pace is known
+	// unknown is the share of the candidates of which nothing is known, 0 if no pace is known.
+	unknown float64
 }
 
 func (r *Registrar) meanOf(now sequoiasill.Millis, candidates []Candidate) typical {
 	out := typical{pace: 1}
-	var pace, load, paces, loads float64
+	var pace, load, paces, loads, unknown float64
 	for i := range candidates {
-		p := &r.replicas[candidates[i].Replica.Name].pace
-		if p.isKnown(now) {
+		s := r.replicas[candidates[i].Replica.Name]
+		p := &s.pace
+		switch {
+		case p.isKnown(now):
 			pace += p.usual
 			paces++
+		case !s.reported:
+			unknown++
 		}
 		if p.loads > 0 {
 			load += p.load
@@ -274,7 +289,7 @@
 		}
 	}
 	if paces > 0 {
-		out.pace, out.known = pace/paces, true
+		out.pace, out.known, out.unknown = pace/paces, true, unknown/float64(len(candidates))
 	}
 	if loads > 0 {
 		out.load = load / loads
--- a/decide/registrar/pace_test.go
+++ b/decide/registrar/pace_test.go
@@ -98,6 +98,16 @@
 			if late := r.Candidates(200_000, "model"); math.Abs(late[0].OthersInFlight-late[1].OthersInFlight) > 0.1 {
 				t.Errorf("calls of others %g and %g, want them to be equal in the end", late[0].OthersInFlight, late[1].OthersInFlight)
 			}
+			r.Announce(21_000, sequoiasill.Replica{Name: "c", Service: "model", Slots: 8, Revision: 2})
+			idle := 0
+			for range 1000 {
+				if c = r.Candidates(21_000, "model"); c[2].OthersInFlight < c[1].OthersInFlight {
+					idle++
+				}
+			}
+			if tc.pace > 0 && (idle < 250 || idle > 420) {
+				t.Errorf("one of three upstreams, a new one, counts as idle for %d of 1,000 calls, want a third of them", idle)
+			}
 		})
 	}
 }
--- a/relay/dispatcher/pace.go
+++ b/relay/dispatcher/pace.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"math"
+
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 )
@@ -58,8 +60,8 @@
 // paceFields returns the log fields of a choice that depended on paces or on idle connections.
 func (t *try) paceFields() []any {
 	var out []any
-	if t.choice.Pace != 1 {
-		out = append(out, "pace", t.choice.Pace)
+	if pace := math.Round(t.choice.Pace*100) / 100; pace != 1 {
+		out = append(out, "pace", pace)
 	}
 	if t.choice.ByConnection {
 		out = append(out, "byConnection", true)
