--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -51,6 +51,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	Pace    float64 // time that work takes at the moment, as a factor, 0 if it is unknown
 }
 
 // Outcome is the result of a call to an upstream.
@@ -77,6 +78,8 @@
 	FailureRate    float64            // failure rate of its recent calls
 	Limited        bool               // it has a rate limit: each call needs a permit
 	ReportAge      sequoiasill.Millis // age of the last report, -1 if there is none
+	Pace           float64            // time that work is expected to take, as a factor, 1 if no pace is known in the service
+	Connected      bool               // this entry holds an idle connection to it; set by the dispatcher
 }
 
 // Registrar holds the state of all upstreams. It is not safe for concurrent use.
@@ -94,6 +97,7 @@
 	cold         ColdStats               // without the number of cold upstreams
 	coldStarts   []RecordedColdStart     // that ColdStarts has not returned yet
 	evacuated    map[string]bool         // zones to which nothing is sent
+	paces        paces
 }
 
 // drainNotice records that an incarnation of an upstream announced its shutdown. It
@@ -133,6 +137,7 @@
 	slowStartWindow  int     // maximum calls in flight while it resumes after a pause, 0 for no limit
 	rounding         float64 // of this entry's share of its slots, from 0 to 1
 	cold             coldState
+	pace             pace
 	rejectedUntil    sequoiasill.Millis // end of the time without calls after a rejection while it is brittle
 	callsBeforePause int                // calls in flight that were sent before the pause
 }
@@ -163,7 +168,7 @@
 			next.inFlight, next.prefill = s.inFlight, s.prefill
 		}
 		if known && n.StartedAt == s.replica.StartedAt {
-			next.limit, next.cold = s.limit, s.cold
+			next.limit, next.cold, next.pace = s.limit, s.cold, s.pace
 		}
 		s = next
 		r.replicas[n.Name] = s
@@ -172,6 +177,7 @@
 		r.recordDrain(now, n.Name, n.StartedAt)
 	}
 	s.replica = n
+	r.applyEarlyPace(s)
 	s.removeAt = 0
 	s.setDraining(now, r.isDraining(n))
 	r.recordColdTime(now, s, n)
@@ -441,6 +447,7 @@
 			out = append(out, s.candidate(now, r.opts))
 		}
 	}
+	r.setPaces(now, out)
 	if brittle && len(out) > 0 {
 		out = r.sampleCandidates(out)
 	}
@@ -462,13 +469,26 @@
 	c.FailureRate = s.failures / (s.calls + priorCalls)
 	if s.reported {
 		c.ReportAge = now - s.loadAt
-		weight := math.Exp(-float64(now-s.loadAt) / float64(opts.ReportDecay))
-		c.OthersInFlight = weight * float64(max(s.load.Running+s.load.Waiting-s.inFlightAtReport, 0))
+		weight := s.reportWeight(now, opts)
+		c.OthersInFlight = weight * float64(s.othersAtReport())
 		c.Waiting = weight * float64(s.load.Waiting)
 	}
 	return c
 }
 
+// reportWeight returns the weight of the last load report, 0 if there is none.
+func (s *state) reportWeight(now sequoiasill.Millis, opts Options) float64 {
+	if !s.reported {
+		return 0
+	}
+	return math.Exp(-float64(now-s.loadAt) / float64(opts.ReportDecay))
+}
+
+// othersAtReport returns the number of calls of other entries in the last load report.
+func (s *state) othersAtReport() int {
+	return max(s.load.Running+s.load.Waiting-s.inFlightAtReport, 0)
+}
+
 // Probeable returns the upstreams of a service to which a connection may be opened as a probe.
 func (r *Registrar) Probeable(now sequoiasill.Millis, service string) []sequoiasill.Replica {
 	var out []sequoiasill.Replica
--- a/relay/dispatcher/feedback.go
+++ b/relay/dispatcher/feedback.go
@@ -15,6 +15,7 @@
 	t.recordPressure(a)
 	if a.HasLoad {
 		t.d.WithRegistrar(func(g *registrar.Registrar) { g.RecordLoad(t.d.clock.Now(), r.Name, a.Load) })
+		t.d.recordPace(r, a.Load.Pace)
 	}
 	if a.Draining && t.d.RecordDraining(r.Name, r.StartedAt, "answer") {
 		t.d.peers.AnnounceDraining(r.Name, r.StartedAt)
