Stock: refused calls count as load, a reserve of reclaimable upstreams where engines have few slots

Cause: calls that the admission refuses did not count towards the load that orders upstreams follow, and with 12 slots an engine has queues before its time is used up.

--- a/decide/estimator/estimator.go
+++ b/decide/estimator/estimator.go
@@ -17,6 +17,12 @@
 	// upstreams. The loss of a zone's upstreams raises it by half, at which quick calls
 	// still meet their latency target.
 	targetUtilisation = 0.35
+	// fewSlots is the number of slots below which an engine runs out of slots before it runs out of
+	// engine time: then calls queue at a utilisation that would otherwise be fine. At such engines the
+	// loss of a zone's upstreams is made up by zoneReserve times as many reclaimable upstreams, which
+	// start too late if they are ordered after the loss.
+	fewSlots    = 20
+	zoneReserve = 1.5
 	// maxUtilisation is the utilisation above which queues grow.
 	maxUtilisation = 0.55
 	// zoneLossUtilisation is the target after the loss of a zone's upstreams, while more
@@ -56,6 +62,7 @@
 // Estimator tracks the load of one service. Its zero value is ready for use. It is not
 // safe for concurrent use.
 type Estimator struct {
+	slots            int // of each upstream, 0 if it is not an engine
 	startedAt        sequoiasill.Millis
 	initialUpstreams int                // upstreams before the first load
 	firstLoadAt      sequoiasill.Millis // 0 before the first load
@@ -88,6 +95,17 @@
 	return e.initialUpstreams > 0 && now-e.startedAt >= warmUpDuration
 }
 
+// SetSlots sets the slots of each upstream, 0 if it is not an engine.
+func (e *Estimator) SetSlots(n int) { e.slots = n }
+
+// reserve returns the factor by which reclaimable upstreams exceed what the load requires.
+func (e *Estimator) reserve() float64 {
+	if e.slots > 0 && e.slots < fewSlots {
+		return zoneReserve
+	}
+	return 1
+}
+
 // Apply sets the numbers of upstreams in v that the load requires.
 func (e *Estimator) Apply(now sequoiasill.Millis, v *scaler.View) {
 	v.Need = e.needPeak.upstreams(targetUtilisation)
@@ -98,4 +116,5 @@
 		v.MinServing = max(v.MinServing, (e.initialUpstreams+1)/2)
 	}
 	v.LossWaveTarget = min(max(v.LossWaveTarget, v.MinServing), v.Need)
+	v.Need = int(math.Ceil(float64(v.Need) * e.reserve()))
 }
--- a/relay/dispatcher/admission.go
+++ b/relay/dispatcher/admission.go
@@ -64,6 +64,8 @@
 		return nil
 	}
 	d.meter.AdmissionRefused(j.service, a.Rank)
+	// Upstreams are ordered for the calls that arrive, not for those that the present ones can serve.
+	d.addEngineLoad(now, j, j.call.Prompt.Tokens)
 	unit := "ms of wait"
 	if a.Engine {
 		unit = "calls per slot"
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -260,7 +260,11 @@
 	}
 	t.arrivals++
 	t.runs++
-	t.countUsage()
+	if !t.engine || !e.EndedHere {
+		// An engine responds with the first token. A call that was cancelled before mostly waited in its
+		// queue, so that it is not counted as usage.
+		t.countUsage()
+	}
 	if e.CallerDisconnected {
 		return t.conclude(e, "caller left", "caller left")
 	}
--- a/relay/dispatcher/engineload.go
+++ b/relay/dispatcher/engineload.go
@@ -4,7 +4,6 @@
 	"math"
 
 	"sequoiasill.dev/sequoiasill"
-	"sequoiasill.dev/sequoiasill/decide/assigner"
 )
 
 // Engine time of a call. Engines read 92 to 140 prompt tokens a millisecond, and a batch of
@@ -29,8 +28,9 @@
 	l.updated = max(now, l.updated)
 }
 
-// addEngineLoad adds the engine time of a call. The caller holds the lock.
-func (d *Dispatcher) addEngineLoad(now sequoiasill.Millis, j *job, choice assigner.Choice) {
+// addEngineLoad adds the engine time of a call of which an engine prefills the given number of tokens. The
+// caller holds the lock.
+func (d *Dispatcher) addEngineLoad(now sequoiasill.Millis, j *job, prefill int) {
 	if !j.engine {
 		return
 	}
@@ -40,7 +40,7 @@
 		d.engineLoads[j.service] = l
 	}
 	l.decay(now)
-	millis := float64(choice.Prefill)/promptTokensPerMilli + float64(j.call.Prompt.ExpectedOutput())*millisPerOutputToken
+	millis := float64(prefill)/promptTokensPerMilli + float64(j.call.Prompt.ExpectedOutput())*millisPerOutputToken
 	l.rate += millis / float64(engineLoadDecay) * float64(sequoiasill.Second)
 }
 
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -312,7 +312,7 @@
 	if choice.ByConnection {
 		d.meter.ChosenByConnection()
 	}
-	d.addEngineLoad(now, j, choice)
+	d.addEngineLoad(now, j, choice.Prefill)
 	return d.rationer.Sent(now, j.retryBudget, choice.Replica.Name)
 }
 
