Admitter: ranks follow the priorities in use; short times to retry after at plain services

Cause: routes that nobody calls had higher priorities, so that all calls of a plain service were limited like less urgent ones, and callers that were refused returned after their target latency.

--- a/decide/admitter/admitter.go
+++ b/decide/admitter/admitter.go
@@ -67,11 +67,13 @@
 	DefaultTarget sequoiasill.Millis
 	// RetryTargets is the mean time to retry after, as a fraction of the target latency, and
 	// RetrySpread the fraction by which it varies at random, so that callers do not return
-	// together. RetryRemaining limits it to a fraction of the time left, beyond which callers
+	// together. At services without engines it is PlainRetryTargets: their queues change within a
+	// fraction of the target, and callers that return within it are still served in time. RetryRemaining limits it to a fraction of the time left, beyond which callers
 	// ignore it.
-	RetryTargets   float64
-	RetrySpread    float64
-	RetryRemaining float64
+	RetryTargets      float64
+	PlainRetryTargets float64
+	RetrySpread       float64
+	RetryRemaining    float64
 }
 
 // Band is a range over which the probability to refuse a call rises from 0 to 1.
@@ -84,7 +86,7 @@
 		MinSamples: 5, MinTaken: 0.8, MaxWaiting: 8, RejectedWaiting: 2,
 		EngineBand: Band{0.5, 1.25}, EngineShift: 0.7, PlainBand: Band{0.3, 0.6}, PlainLessUrgent: 0.5,
 		ReturnedFraction: 0.75, ReturnedWeight: 0.5,
-		DefaultTarget: 500, RetryTargets: 0.5, RetrySpread: 0.5, RetryRemaining: 1.0 / 3,
+		DefaultTarget: 500, RetryTargets: 0.5, PlainRetryTargets: 0.2, RetrySpread: 0.5, RetryRemaining: 1.0 / 3,
 	}
 }
 
@@ -123,6 +125,7 @@
 type service struct {
 	engine     bool
 	priorities []int // of its routes, in order and each once
+	arrivals   arrivals
 
 	waiting  mean // calls per slot
 	taken    mean // share of slots
@@ -251,7 +254,7 @@
 		return d
 	}
 	if d.Refused = a.rand.Float64() < d.Probability; d.Refused {
-		d.RetryAfter = a.retryAfter(r)
+		d.RetryAfter = a.retryAfter(r, d.Engine)
 	}
 	return d
 }
@@ -263,8 +266,8 @@
 	if s == nil {
 		return d
 	}
-	rank, known := slices.BinarySearch(s.priorities, r.Priority)
-	d.Engine, d.Rank, d.Ranks = s.engine, rank, len(s.priorities)
+	rank, ranks, known := s.rank(now, r.Priority)
+	d.Engine, d.Rank, d.Ranks = s.engine, rank, ranks
 	if !known || !s.reported {
 		return d
 	}
@@ -277,7 +280,7 @@
 	var limited bool
 	level := d.Waiting
 	if s.engine {
-		d.Band, limited = a.engineBand(rank, len(s.priorities))
+		d.Band, limited = a.engineBand(rank, ranks)
 	} else {
 		d.Band, limited = a.plainBand(rank, r.TargetLatency)
 		level = float64(d.Wait)
@@ -317,13 +320,17 @@
 	return Band{a.opts.PlainBand.Low * scale, a.opts.PlainBand.High * scale}, target > 0
 }
 
-func (a *Admitter) retryAfter(r Request) sequoiasill.Millis {
+func (a *Admitter) retryAfter(r Request, engine bool) sequoiasill.Millis {
 	target := r.TargetLatency
 	if target <= 0 {
 		target = a.opts.DefaultTarget
 	}
 	spread := 1 + a.opts.RetrySpread*(2*a.rand.Float64()-1)
-	wait := a.opts.RetryTargets * spread * float64(target)
+	targets := a.opts.PlainRetryTargets
+	if engine {
+		targets = a.opts.RetryTargets
+	}
+	wait := targets * spread * float64(target)
 	return sequoiasill.Millis(max(min(wait, a.opts.RetryRemaining*float64(r.Remaining)), 1))
 }
 
--- a/relay/dispatcher/admission.go
+++ b/relay/dispatcher/admission.go
@@ -37,6 +37,7 @@
 		j.retryBudget = d.rationer.RelayedCall(now, j.service)
 		return nil
 	}
+	d.admitter.RecordArrival(now, j.service, j.route.Priority)
 	if wait, ok := d.takeQuota(now, j); !ok {
 		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeOverloaded, http.StatusTooManyRequests,
 			"allowance of %s is spent", j.account.Name).WithRetryAfter(wait)
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -130,7 +130,6 @@
 		}
 	}
 	j.service = route.ServiceFor(xxhash.Sum64String(call.ID))
-	j.lessUrgent = route.Priority > t.HighestPriority(j.service)
 	if s, ok := t.Service(j.service); ok {
 		j.engine = s.Engine != nil
 	}
@@ -161,7 +160,7 @@
 func (d *Dispatcher) takeQuota(now sequoiasill.Millis, j *job) (sequoiasill.Millis, bool) {
 	if j.account != nil {
 		take := d.allotter.Take
-		if j.lessUrgent {
+		if d.admitter.LessUrgent(now, j.service, j.route.Priority) {
 			take = d.allotter.TakeLessUrgent
 		}
 		if wait, ok := take(now, j.account, j.account.Cost(j.call.Prompt)); !ok {
--- a/traffic.go
+++ b/traffic.go
@@ -1,9 +1,6 @@
 package sequoiasill
 
-import (
-	"slices"
-	"strings"
-)
+import "strings"
 
 // CallKind defines whether the calls of a route may be retried.
 type CallKind int
@@ -142,22 +139,6 @@
 	return nil, false
 }
 
-// HighestPriority returns the priority of the most urgent route to a service. Priorities rank calls of the same
-// service only.
-func (t *Traffic) HighestPriority(service string) int {
-	highest, found := 0, false
-	for i := range t.Routes {
-		r := &t.Routes[i]
-		if !slices.ContainsFunc(r.Targets, func(w WeightedService) bool { return w.Service == service }) {
-			continue
-		}
-		if !found || r.Priority < highest {
-			highest, found = r.Priority, true
-		}
-	}
-	return highest
-}
-
 // ServiceFor selects a service by weight. The same hash always selects the same
 // service of a route.
 func (r *TrafficRoute) ServiceFor(hash uint64) string {
