--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -25,7 +25,6 @@
 	account        *sequoiasill.Account // nil if the route needs no key
 	service        string
 	engine         bool
-	lessUrgent     bool   // other routes to the service have a higher priority
 	trafficVersion uint64 // version of the traffic rules that apply to the call
 	reply          ResponseWriter
 	deadline       sequoiasill.Millis
