Allotter: the reserve shrinks with the share

When the demand moved to other entries, the reserve kept the size of the larger share and took all of the smaller one, so that an entry refused all large calls that it may not borrow for.

--- a/decide/allotter/precedence.go
+++ b/decide/allotter/precedence.go
@@ -43,10 +43,10 @@
 	return cost <= smallCall*a.capacity(acc)
 }
 
-// refillReserve adds the reserve's part of refilled tokens and returns it.
+// refillReserve adds the reserve's part of refilled tokens and returns it. It is negative if the share has
+// become smaller, so that the reserve takes no more than its part of it.
 func (s *share) refillReserve(refill, capacity float64) float64 {
-	room := max(smallReserve*capacity-s.reserve, 0)
-	part := min(smallReserve*refill, room)
+	part := min(smallReserve*refill, smallReserve*capacity-s.reserve)
 	s.reserve += part
 	return part
 }
--- a/decide/allotter/precedence_test.go
+++ b/decide/allotter/precedence_test.go
@@ -105,3 +105,23 @@
 		t.Errorf("%.3f of the less urgent calls are admitted (-want +got):\n%s", after["less urgent"], diff)
 	}
 }
+
+// Guards against refusals at an entry whose share has become small: the reserve that a larger share had filled
+// took all of the smaller one, and large calls cannot use it.
+func TestReserveShrinksWithTheShare(t *testing.T) {
+	acc := &sequoiasill.Account{Name: "o", CountsTokens: true, RatePerSec: 1000, Burst: 1000}
+	a := allotter.New(allotter.Limits{Window: 1000}, 76, false)
+	demand := func(now sequoiasill.Millis, own, all float64) {
+		total := func(d float64) allotter.Totals { return allotter.Totals{Demand: map[string]float64{"o": d}} }
+		a.SetTotals(allotter.Sum{Source: "s", At: now, Own: total(own), All: total(all)})
+	}
+	demand(1000, 950, 950)
+	a.Share(1000, acc)
+	a.Share(5000, acc) // fills the share and its reserve
+	demand(5000, 0, 950)
+	now := 20 * sequoiasill.Second // the last sum is old, so that only the share counts
+	a.Share(now, acc)
+	if _, ok := a.Take(now+sequoiasill.Minute, acc, 100); !ok {
+		t.Errorf("a call is refused after a minute without calls, share %+v", a.Share(now+sequoiasill.Minute, acc))
+	}
+}
