--- a/decide/allotter/precedence.go
+++ b/decide/allotter/precedence.go
@@ -21,16 +21,16 @@
 // TakeLessUrgent is Take for a call that is less urgent than other calls of its service. During a surge it
 // leaves a part of this entry's share to those.
 func (a *Allotter) TakeLessUrgent(now sequoiasill.Millis, acc *sequoiasill.Account, cost float64) (wait sequoiasill.Millis, ok bool) {
-	if !a.surging(acc) {
+	if !a.surging(now, acc) {
 		return a.take(now, acc, cost, 0)
 	}
 	return a.take(now, acc, cost, lessUrgentFloor*a.capacity(acc))
 }
 
 // surging reports whether all entries together receive clearly more calls of an organisation than its quota
-// allows.
-func (a *Allotter) surging(acc *sequoiasill.Account) bool {
-	return acc.RatePerSec > 0 && a.totalDemand[acc.Name] > surgeDemand*acc.RatePerSec
+// allows. Without a recent sum that is unknown, and the order of arrival decides.
+func (a *Allotter) surging(now sequoiasill.Millis, acc *sequoiasill.Account) bool {
+	return a.hasSum && now-a.lastSumAt <= maxSumAge && acc.RatePerSec > 0 && a.totalDemand[acc.Name] > surgeDemand*acc.RatePerSec
 }
 
 // capacity returns the tokens that this entry's share holds at most.
--- a/decide/allotter/precedence_test.go
+++ b/decide/allotter/precedence_test.go
@@ -125,3 +125,23 @@
 		t.Errorf("a call is refused after a minute without calls, share %+v", a.Share(now+sequoiasill.Minute, acc))
 	}
 }
+
+// Guards against refusals of less urgent calls by a surge that is long over: an entry that gets no sums cannot
+// tell whether it goes on.
+func TestSurgeOfAnOldSumIsForgotten(t *testing.T) {
+	acc := &sequoiasill.Account{Name: "o", CountsTokens: true, RatePerSec: 1000, Burst: 1000}
+	a := allotter.New(allotter.Limits{Window: 1000}, 4, true)
+	total := allotter.Totals{Demand: map[string]float64{"o": 4000}}
+	a.SetTotals(allotter.Sum{Source: "s", At: 1000, Own: allotter.Totals{Demand: map[string]float64{"o": 1000}}, All: total})
+	for _, tc := range []struct {
+		now      sequoiasill.Millis
+		admitted bool // with a fifth of the share spent
+	}{{2000, false}, {sequoiasill.Minute, true}} {
+		now := tc.now
+		a.Share(now, acc)
+		a.Take(now, acc, 50)
+		if _, ok := a.TakeLessUrgent(now, acc, 20); ok != tc.admitted {
+			t.Errorf("%s after the last sum: a less urgent call is admitted: %t, share %+v", now-1000, ok, a.Share(now, acc))
+		}
+	}
+}
