Allotter: Cancel returns tokens where they were taken

Small calls that were refused for another reason moved the reserve for small calls into the share, and calls that took tokens of the share were returned to what had been borrowed, which the next sum clears.

--- a/decide/allotter/allotter.go
+++ b/decide/allotter/allotter.go
@@ -82,10 +82,21 @@
 	spent       float64 // tokens admitted at this entry
 	borrowed    float64 // tokens admitted beyond this entry's share since the last sum
 	reserve     float64 // tokens of this entry's share that are kept for small calls
+	lastTaken   taken
 
 	bucket bucket
 }
 
+// taken is where the tokens of an admitted call were taken.
+type taken struct{ level, borrowed, reserve float64 }
+
+func (s *share) take(t taken) {
+	s.level -= t.level
+	s.borrowed += t.borrowed
+	s.reserve -= t.reserve
+	s.lastTaken = t
+}
+
 // bucket estimates the token bucket of all entries from the sums of one source.
 type bucket struct {
 	source          string
@@ -228,12 +239,11 @@
 		return sequoiasill.ClampDuration((-overdraftFraction*acc.Burst-remaining)/acc.RatePerSec, sequoiasill.Second) + 1, false
 	case fresh && a.mayBorrow(acc, s, remaining):
 		own := min(max(s.level, 0), cost)
-		s.level -= own
-		s.borrowed += cost - own
+		s.take(taken{level: own, borrowed: cost - own})
 	case s.level > floor:
-		s.level -= cost
+		s.take(taken{level: cost})
 	case a.isSmall(acc, cost) && s.reserve >= cost:
-		s.reserve -= cost
+		s.take(taken{reserve: cost})
 	default:
 		rate := a.rate(acc) * a.fraction(acc.Name)
 		return sequoiasill.ClampDuration((floor-s.level)/rate, sequoiasill.Second) + 1, false
--- a/decide/allotter/cancel.go
+++ b/decide/allotter/cancel.go
@@ -10,8 +10,8 @@
 		return
 	}
 	s := a.share(now, acc)
-	returned := min(cost, s.borrowed)
-	s.borrowed -= returned
-	s.level += cost - returned
+	t := s.lastTaken
+	s.take(taken{level: -t.level, borrowed: -t.borrowed, reserve: -t.reserve})
+	s.lastTaken = taken{}
 	s.spent = max(s.spent-cost, s.bucket.spentHere)
 }
--- a/decide/allotter/cancel_test.go
+++ b/decide/allotter/cancel_test.go
@@ -33,3 +33,41 @@
 		})
 	}
 }
+
+// Guards against cancelled calls that move tokens between the share, the reserve for small calls and what was
+// borrowed: small calls that were refused for another reason used up the reserve.
+func TestCancelReturnsTokensWhereTheyWereTaken(t *testing.T) {
+	acc := &sequoiasill.Account{Name: "o", CountsTokens: true, RatePerSec: 1000, Burst: 1000}
+	sum := func(a *allotter.Allotter, demand float64) {
+		a.SetTotals(allotter.Sum{Source: "s", At: 1000, Own: allotter.Totals{Spent: a.Spent()}, All: allotter.Totals{Spent: a.Spent(), Demand: map[string]float64{"o": demand}}})
+	}
+	tests := map[string]struct {
+		demand float64 // at all entries
+		first  float64 // cost of the call before
+		cost   float64 // of the calls that are cancelled
+	}{
+		"from the reserve":                     {5000, 500, 1},
+		"from the share after a borrowed call": {1, 300, 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := allotter.New(allotter.Limits{Window: 1000, Slack: 10}, 4, true)
+			a.Share(0, acc)
+			sum(a, tc.demand)
+			a.Share(1000, acc)
+			a.Take(1000, acc, tc.first)
+			before := a.Share(1050, acc)
+			for range 20 {
+				if _, ok := a.Take(1050, acc, tc.cost); !ok {
+					t.Fatal("the quota is used up")
+				}
+				a.Cancel(1050, acc, tc.cost)
+			}
+			after := a.Share(1050, acc)
+			before.Demand, after.Demand = 0, 0 // refused calls are demand
+			if diff := cmp.Diff(before, after); diff != "" {
+				t.Errorf("share (-before +after):\n%s", diff)
+			}
+		})
+	}
+}
