Priorities of routes that never select a service do not rank its calls

A route whose weight of a service is 0 made all other calls to it less urgent, for quotas only: the admission already left such routes out. Both now ask the route.

--- a/decide/admitter/admitter.go
+++ b/decide/admitter/admitter.go
@@ -153,7 +153,7 @@
 	}
 	for _, r := range t.Routes {
 		for _, w := range r.Targets {
-			if s := services[w.Service]; s != nil && (w.Weight > 0 || len(r.Targets) == 1) {
+			if s := services[w.Service]; s != nil && r.Selects(w.Service) {
 				s.priorities = append(s.priorities, r.Priority)
 			}
 		}
--- a/traffic.go
+++ b/traffic.go
@@ -142,13 +142,13 @@
 	return nil, false
 }
 
-// HighestPriority returns the priority of the most urgent route to a service. Priorities rank calls of the same
-// service only.
+// HighestPriority returns the priority of the most urgent route that selects a service. Priorities rank
+// calls of the same service only.
 func (t *Traffic) HighestPriority(service string) int {
 	highest, found := 0, false
 	for i := range t.Routes {
 		r := &t.Routes[i]
-		if !slices.ContainsFunc(r.Targets, func(w WeightedService) bool { return w.Service == service }) {
+		if !r.Selects(service) {
 			continue
 		}
 		if !found || r.Priority < highest {
@@ -158,6 +158,14 @@
 	return highest
 }
 
+// Selects reports whether ServiceFor may return a service.
+func (r *TrafficRoute) Selects(service string) bool {
+	if !slices.ContainsFunc(r.Targets, func(w WeightedService) bool { return w.Weight > 0 }) {
+		return len(r.Targets) > 0 && r.Targets[0].Service == service
+	}
+	return slices.ContainsFunc(r.Targets, func(w WeightedService) bool { return w.Service == service && w.Weight > 0 })
+}
+
 // ServiceFor selects a service by weight. The same hash always selects the same
 // service of a route.
 func (r *TrafficRoute) ServiceFor(hash uint64) string {
