--- a/decide/allotter/allotter.go
+++ b/decide/allotter/allotter.go
@@ -283,16 +283,20 @@
 type Share struct {
 	Fraction  float64 // this entry's fraction of the quota
 	Level     float64 // tokens in this entry's share
+	Reserve   float64 // tokens that are kept for small calls
 	Demand    float64 // demand at this entry in tokens per second
 	Remaining float64 // estimated tokens in the shared bucket
 	Fresh     bool    // the estimate is recent
+	Surging   bool    // urgent calls and small ones go first
 }
 
 // Share returns this entry's share of an organisation's quota.
 func (a *Allotter) Share(now sequoiasill.Millis, acc *sequoiasill.Account) Share {
 	s := a.share(now, acc)
 	remaining, fresh := s.remaining(now)
-	return Share{Fraction: a.fraction(acc.Name), Level: s.level, Demand: s.demand, Remaining: remaining, Fresh: fresh}
+	return Share{
+		Fraction: a.fraction(acc.Name), Level: s.level, Reserve: s.reserve, Demand: s.demand, Remaining: remaining, Fresh: fresh, Surging: a.surging(now, acc),
+	}
 }
 
 // Refund refunds the cost of a call that was not run.
--- a/relay/dispatcher/admission_test.go
+++ b/relay/dispatcher/admission_test.go
@@ -119,3 +119,30 @@
 		t.Errorf("sends (-want +got):\n%s", diff)
 	}
 }
+
+// The log of a call that the quota refuses must tell whether urgent calls went before it.
+func TestLogOfSpentQuotaTellsPrecedence(t *testing.T) {
+	var log bytes.Buffer
+	d := newLoggingDispatcher(t, &fakeTransport{}, &fakePeers{usageCounts: make(map[string]int)}, hclog.New(&hclog.LoggerOptions{Output: &log, Level: hclog.Debug}))
+	ranked := *traffic
+	ranked.Version++
+	ranked.Routes = nil
+	for _, r := range traffic.Routes {
+		if r.Name != "read" {
+			r.Priority = 2
+		}
+		ranked.Routes = append(ranked.Routes, r)
+	}
+	ranked.Accounts = []sequoiasill.Account{{Name: "small", Keys: []string{"key"}, RatePerSec: 0.001}}
+	d.SetTraffic(&ranked)
+	var got reply
+	d.Serve(context.Background(), call("/once/x", "key"), &got)
+	if got.Status != 429 {
+		t.Fatalf("status %d, want 429", got.Status)
+	}
+	for _, part := range []string{"lessUrgent=true", "Reserve:", "Surging:false"} {
+		if !strings.Contains(log.String(), part) {
+			t.Errorf("log lacks %q:\n%s", part, log.String())
+		}
+	}
+}
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
@@ -166,7 +167,7 @@
 		}
 		if wait, ok := take(now, j.account, j.account.Cost(j.call.Prompt)); !ok {
 			d.log.Debug("allowance is spent", "request", j.call.ID, "organisation", j.account.Name,
-				"rate", j.account.RatePerSec, "share", d.allotter.Share(now, j.account))
+				"rate", j.account.RatePerSec, "lessUrgent", j.lessUrgent, "share", hclog.Fmt("%+v", d.allotter.Share(now, j.account)))
 			return wait, false
 		}
 	}
