--- a/decide/allotter/allotter.go
+++ b/decide/allotter/allotter.go
@@ -75,17 +75,29 @@
 
 // share is the state of an organisation's quota at this entry.
 type share struct {
-	level       float64 // tokens in this entry's share; below 0 after a call overdrew it
-	updated     sequoiasill.Millis
-	initialised bool
-	demand      float64 // demand at this entry in tokens per second
-	spent       float64 // tokens admitted at this entry
-	borrowed    float64 // tokens admitted beyond this entry's share since the last sum
-	reserve     float64 // tokens of this entry's share that are kept for small calls
+	level        float64 // tokens in this entry's share; below 0 after a call overdrew it
+	updated      sequoiasill.Millis
+	initialised  bool
+	demand       float64 // demand at this entry in tokens per second
+	urgentDemand float64 // the part of demand that is not less urgent
+	spent        float64 // tokens admitted at this entry
+	borrowed     float64 // tokens admitted beyond this entry's share since the last sum
+	reserve      float64 // tokens of this entry's share that are kept for small calls
+	lastTaken    taken
 
 	bucket bucket
 }
 
+// taken is where the tokens of an admitted call were taken, and what it added to the urgent demand.
+type taken struct{ level, borrowed, reserve, urgentDemand float64 }
+
+func (s *share) take(t taken) {
+	s.level -= t.level
+	s.borrowed += t.borrowed
+	s.reserve -= t.reserve
+	s.lastTaken = t
+}
+
 // bucket estimates the token bucket of all entries from the sums of one source.
 type bucket struct {
 	source          string
@@ -211,7 +223,18 @@
 // retry. A call may overdraw a share that is not empty, as a single call can be larger
 // than the share of a small organisation.
 func (a *Allotter) Take(now sequoiasill.Millis, acc *sequoiasill.Account, cost float64) (wait sequoiasill.Millis, ok bool) {
-	return a.take(now, acc, cost, 0)
+	wait, ok = a.take(now, acc, cost, 0)
+	if acc.RatePerSec > 0 {
+		s := a.share(now, acc)
+		s.urgentDemand += demandOf(cost)
+		s.lastTaken.urgentDemand = demandOf(cost)
+	}
+	return wait, ok
+}
+
+// demandOf returns what a call adds to the moving average of demand in tokens per second.
+func demandOf(cost float64) float64 {
+	return cost / float64(demandTimeConstant) * float64(sequoiasill.Second)
 }
 
 // take admits a call if this entry's share holds more than floor tokens, or if it needs no tokens of
@@ -221,19 +244,18 @@
 		return 0, true
 	}
 	s := a.share(now, acc)
-	s.demand += cost / float64(demandTimeConstant) * float64(sequoiasill.Second)
+	s.demand += demandOf(cost)
 	remaining, fresh := s.remaining(now)
 	switch {
 	case fresh && remaining < -overdraftFraction*acc.Burst:
 		return sequoiasill.ClampDuration((-overdraftFraction*acc.Burst-remaining)/acc.RatePerSec, sequoiasill.Second) + 1, false
 	case fresh && a.mayBorrow(acc, s, remaining):
 		own := min(max(s.level, 0), cost)
-		s.level -= own
-		s.borrowed += cost - own
+		s.take(taken{level: own, borrowed: cost - own})
 	case s.level > floor:
-		s.level -= cost
+		s.take(taken{level: cost})
 	case a.isSmall(acc, cost) && s.reserve >= cost:
-		s.reserve -= cost
+		s.take(taken{reserve: cost})
 	default:
 		rate := a.rate(acc) * a.fraction(acc.Name)
 		return sequoiasill.ClampDuration((floor-s.level)/rate, sequoiasill.Second) + 1, false
@@ -264,16 +286,20 @@
 type Share struct {
 	Fraction  float64 // this entry's fraction of the quota
 	Level     float64 // tokens in this entry's share
+	Reserve   float64 // tokens that are kept for small calls
 	Demand    float64 // demand at this entry in tokens per second
 	Remaining float64 // estimated tokens in the shared bucket
 	Fresh     bool    // the estimate is recent
+	Surging   bool    // urgent calls and small ones go first
 }
 
 // Share returns this entry's share of an organisation's quota.
 func (a *Allotter) Share(now sequoiasill.Millis, acc *sequoiasill.Account) Share {
 	s := a.share(now, acc)
 	remaining, fresh := s.remaining(now)
-	return Share{Fraction: a.fraction(acc.Name), Level: s.level, Demand: s.demand, Remaining: remaining, Fresh: fresh}
+	return Share{
+		Fraction: a.fraction(acc.Name), Level: s.level, Reserve: s.reserve, Demand: s.demand, Remaining: remaining, Fresh: fresh, Surging: a.surging(now, acc),
+	}
 }
 
 // Refund refunds the cost of a call that was not run.
@@ -296,7 +322,9 @@
 	}
 	elapsed := float64(max(now-s.updated, 0)) / float64(sequoiasill.Second)
 	s.updated = max(now, s.updated)
-	s.demand *= math.Exp(-elapsed * float64(sequoiasill.Second) / float64(demandTimeConstant))
+	remaining := math.Exp(-elapsed * float64(sequoiasill.Second) / float64(demandTimeConstant))
+	s.demand *= remaining
+	s.urgentDemand *= remaining
 	capacity := acc.Burst * a.fraction(acc.Name)
 	if !s.initialised {
 		s.initialised = true
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/assigner"
@@ -158,13 +159,13 @@
 // returns false and the time to wait before a retry. The caller holds the lock.
 func (d *Dispatcher) takeQuota(now sequoiasill.Millis, j *job) (sequoiasill.Millis, bool) {
 	if j.account != nil {
-		take := d.allotter.Take
-		if d.admitter.LessUrgent(now, j.service, j.route.Priority) {
+		take, lessUrgent := d.allotter.Take, d.admitter.LessUrgent(now, j.service, j.route.Priority)
+		if lessUrgent {
 			take = d.allotter.TakeLessUrgent
 		}
 		if wait, ok := take(now, j.account, j.account.Cost(j.call.Prompt)); !ok {
 			d.log.Debug("allowance is spent", "request", j.call.ID, "organisation", j.account.Name,
-				"rate", j.account.RatePerSec, "share", d.allotter.Share(now, j.account))
+				"rate", j.account.RatePerSec, "lessUrgent", lessUrgent, "share", hclog.Fmt("%+v", d.allotter.Share(now, j.account)))
 			return wait, false
 		}
 	}
--- a/traffic.go
+++ b/traffic.go
@@ -1,6 +1,9 @@
 package sequoiasill
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // CallKind defines whether the calls of a route may be retried.
 type CallKind int
@@ -139,6 +142,14 @@
 	return nil, false
 }
 
+// Selects reports whether ServiceFor may return a service.
+func (r *TrafficRoute) Selects(service string) bool {
+	if !slices.ContainsFunc(r.Targets, func(w WeightedService) bool { return w.Weight > 0 }) {
+		return len(r.Targets) > 0 && r.Targets[0].Service == service
+	}
+	return slices.ContainsFunc(r.Targets, func(w WeightedService) bool { return w.Service == service && w.Weight > 0 })
+}
+
 // ServiceFor selects a service by weight. The same hash always selects the same
 // service of a route.
 func (r *TrafficRoute) ServiceFor(hash uint64) string {
