--- a/decide/registrar/evacuated_test.go
+++ b/decide/registrar/evacuated_test.go
@@ -96,3 +96,50 @@
 		})
 	}
 }
+
+// Guards against calls to a zone whose evacuation began while this process was paused, before it has read
+// what arrived meanwhile.
+func TestNothingIsSentRightAfterAPause(t *testing.T) {
+	tests := map[string]struct {
+		follows bool
+		ticks   []sequoiasill.Millis
+		want    []bool // may be sent at 5000, 5200 and 5400
+	}{
+		"not paused":                {true, []sequoiasill.Millis{4800, 5000, 5200}, []bool{true, true, true}},
+		"resumed, before the tick":  {true, []sequoiasill.Millis{1000}, []bool{false, false, false}},
+		"resumed":                   {true, []sequoiasill.Millis{1000, 5000, 5200}, []bool{false, false, true}},
+		"paused for a short time":   {true, []sequoiasill.Millis{2100, 5000, 5200}, []bool{true, true, true}},
+		"evacuations are not known": {false, []sequoiasill.Millis{1000, 5000, 5200}, []bool{true, true, true}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(registrar.DefaultOptions(), 1)
+			r.Announce(0, replica("a", 1))
+			if tc.follows {
+				r.SetEvacuated(map[string]bool{})
+			}
+			var got []bool
+			for now := sequoiasill.Millis(0); now <= 5400; now += 100 {
+				for _, at := range tc.ticks {
+					if at == now {
+						r.Tick(now)
+					}
+				}
+				if now < 5000 || now%200 != 0 {
+					continue
+				}
+				candidates, probes, sends := len(r.Candidates(now, "model")), len(r.Probeable(now, "model")), r.MaySend(now, replica("a", 1), false)
+				if (candidates == 1) != sends || (probes == 1) != sends {
+					t.Errorf("at %s: %d candidates, %d to probe, sends: %t", now, candidates, probes, sends)
+				}
+				if wait, known := r.NextAvailable(now, "model"); known == sends || known && wait > 300 {
+					t.Errorf("at %s: next available in %s, %t", now, wait, known)
+				}
+				got = append(got, sends)
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Errorf("sends (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -93,7 +93,9 @@
 	coldEntries  int                     // among which these are divided
 	cold         ColdStats               // without the number of cold upstreams
 	coldStarts   []RecordedColdStart     // that ColdStarts has not returned yet
-	evacuated    map[string]bool         // zones to which nothing is sent
+	evacuated    map[string]bool         // zones to which nothing is sent, nil if evacuations are not followed
+	tickedAt     sequoiasill.Millis      // time of the last Tick
+	holdUntil    sequoiasill.Millis      // end of the time without sends after a pause of this process
 }
 
 // drainNotice records that an incarnation of an upstream announced its shutdown. It
@@ -246,7 +248,7 @@
 // An upstream with a rate limit requires a permit.
 func (r *Registrar) MaySend(now sequoiasill.Millis, n sequoiasill.Replica, permitted bool) bool {
 	s, ok := r.replicas[n.Name]
-	return ok && s.replica.StartedAt == n.StartedAt && !s.removed && !s.replica.Draining && s.pausedUntil <= now && (permitted || !s.limit.active) && !r.evacuated[s.replica.Zone] && r.takeColdShare(now, s)
+	return ok && s.replica.StartedAt == n.StartedAt && !s.removed && !s.replica.Draining && s.pausedUntil <= now && (permitted || !s.limit.active) && r.maySendTo(now, s) && r.takeColdShare(now, s)
 }
 
 // NextAvailable returns the time until the first upstream of a service accepts calls again.
@@ -257,7 +259,7 @@
 		if s.replica.Service != service || s.removed || s.replica.Draining || r.evacuated[s.replica.Zone] {
 			continue
 		}
-		wait := max(s.pausedUntil, s.backoffUntil, s.limit.deniedUntil, s.rejectedUntil, now+r.coldWait(now, s)) - now
+		wait := max(s.pausedUntil, s.backoffUntil, s.limit.deniedUntil, s.rejectedUntil, now+r.coldWait(now, s), now+r.holdWait(now)) - now
 		if wait <= 0 {
 			return 0, false
 		}
@@ -328,6 +330,7 @@
 
 // Tick expires state and returns the upstreams that were removed since the last call.
 func (r *Registrar) Tick(now sequoiasill.Millis) []Removal {
+	r.noteTick(now)
 	for name, s := range r.replicas {
 		if s.removeAt > 0 && now >= s.removeAt {
 			s.removeAt = 0
@@ -437,7 +440,7 @@
 	var out []Candidate
 	brittle := r.IsBrittle(now, service)
 	for _, s := range r.replicas {
-		if s.replica.Service == service && s.usable(now) && !r.evacuated[s.replica.Zone] && r.hasColdRoom(now, s) && (!brittle || s.hasRoom(now, r.entries)) {
+		if s.replica.Service == service && s.usable(now) && r.maySendTo(now, s) && r.hasColdRoom(now, s) && (!brittle || s.hasRoom(now, r.entries)) {
 			out = append(out, s.candidate(now, r.opts))
 		}
 	}
@@ -473,7 +476,7 @@
 func (r *Registrar) Probeable(now sequoiasill.Millis, service string) []sequoiasill.Replica {
 	var out []sequoiasill.Replica
 	for _, s := range r.replicas {
-		if s.replica.Service == service && s.probeable(now) && !r.evacuated[s.replica.Zone] && r.hasColdRoom(now, s) {
+		if s.replica.Service == service && s.probeable(now) && r.maySendTo(now, s) && r.hasColdRoom(now, s) {
 			out = append(out, s.replica)
 		}
 	}
