--- a/decide/registrar/cold_test.go
+++ b/decide/registrar/cold_test.go
@@ -16,8 +16,9 @@
 	rand      *rand.Rand
 	entries   []*registrar.Registrar
 	upstreams []sequoiasill.Replica
-	turns     []sequoiasill.Millis         // of the cold upstreams
-	sends     map[int][]sequoiasill.Millis // by upstream
+	turns     []sequoiasill.Millis                                   // of the cold upstreams
+	sends     map[int][]sequoiasill.Millis                           // by upstream
+	heard     map[*registrar.Registrar]map[string]sequoiasill.Millis // when an entry last heard of cold upstreams
 	refused   int
 }
 
@@ -29,7 +30,7 @@
 )
 
 func newColdWave(seed uint64, rates map[string]float64, known func(entry int) int) *coldWave {
-	w := &coldWave{rand: rand.New(rand.NewPCG(seed, 0)), sends: make(map[int][]sequoiasill.Millis)}
+	w := &coldWave{rand: rand.New(rand.NewPCG(seed, 0)), sends: make(map[int][]sequoiasill.Millis), heard: make(map[*registrar.Registrar]map[string]sequoiasill.Millis)}
 	for i := range 90 {
 		w.upstreams = append(w.upstreams, sequoiasill.Replica{Name: fmt.Sprintf("i-%02d", i), Service: "model", Address: "10.0.0.1:80", Slots: 16, Revision: 1})
 	}
@@ -52,9 +53,7 @@
 			for round, turn := range turns {
 				for i := range waveCold {
 					if delay := sequoiasill.Millis((e*7+i*13)%60) * waveStep; now == turn+delay {
-						u := w.upstreams[i]
-						u.Revision, u.ColdFor = uint64(round+2), waveTime
-						r.Announce(now, u)
+						w.hear(now, r, i, uint64(round+2))
 					}
 				}
 			}
@@ -73,8 +72,14 @@
 		return
 	}
 	chosen := candidates[w.rand.IntN(len(candidates))].Replica
-	if n := coldOnes(candidates); n > 0 {
-		chosen = candidates[w.rand.IntN(n)].Replica
+	var cold []registrar.Candidate
+	for _, c := range candidates {
+		if at, known := w.heard[r][c.Replica.Name]; known && now < at+waveTime {
+			cold = append(cold, c)
+		}
+	}
+	if len(cold) > 0 {
+		chosen = cold[w.rand.IntN(len(cold))].Replica
 	}
 	r.CallSent(chosen.Name, 0)
 	if r.MaySend(now, chosen, false) {
@@ -85,13 +90,15 @@
 	r.CallEnded(now, chosen.Name, 0, registrar.Succeeded)
 }
 
-// coldOnes returns the number of candidates that were announced as cold, which are sorted first.
-func coldOnes(candidates []registrar.Candidate) int {
-	n := 0
-	for n < len(candidates) && candidates[n].Replica.ColdFor > 0 {
-		n++
+// hear tells an entry that an upstream is cold from now on.
+func (w *coldWave) hear(now sequoiasill.Millis, r *registrar.Registrar, i int, revision uint64) {
+	u := w.upstreams[i]
+	u.Revision, u.ColdFor = revision, waveTime
+	r.Announce(now, u)
+	if w.heard[r] == nil {
+		w.heard[r] = make(map[string]sequoiasill.Millis)
 	}
-	return n
+	w.heard[r][u.Name] = now
 }
 
 // busiest returns the largest number of requests that a cold upstream got in a second, and the number
@@ -101,7 +108,7 @@
 		for _, turn := range w.turns {
 			var inside []sequoiasill.Millis
 			for _, at := range w.sends[i] {
-				if at >= turn+300 && at < turn+waveTime {
+				if at >= turn && at < turn+waveTime {
 					inside = append(inside, at)
 				}
 			}
@@ -149,14 +156,12 @@
 // Guards against a burst when a restarted fleet learns its size at the same time.
 func TestColdSharesWhenTheNumberOfEntriesBecomesKnown(t *testing.T) {
 	w := newColdWave(1, map[string]float64{"model": 16}, func(int) int { return 380 })
-	w.turns = []sequoiasill.Millis{-300}
-	for now := sequoiasill.Millis(0); now < waveTime-300; now += 2 * waveStep {
+	w.turns = []sequoiasill.Millis{0}
+	for now := sequoiasill.Millis(0); now < waveTime; now += 2 * waveStep {
 		for _, r := range w.entries {
 			if now == 0 {
 				for i := range waveCold {
-					u := w.upstreams[i]
-					u.Revision, u.ColdFor = 2, waveTime
-					r.Announce(0, u)
+					w.hear(0, r, i, 2)
 				}
 			}
 			if now == 1500 {
