Callers: one budget of memory and connections for what they send

Heads are counted while they are read, bodies and copies for other entries are reserved before they are read, and the connection that stalls with the largest share is closed first.

--- a/cmd/sequoia-edge/main.go
+++ b/cmd/sequoia-edge/main.go
@@ -37,6 +37,9 @@
 	}
 	launcher.ExitOnFaults(os.Stderr, problems)
 	settings.UpstreamSource = *source
+	if os.Getenv("GOMEMLIMIT") == "" {
+		runner.LimitMemory(settings)
+	}
 
 	spool := spooler.New(spooler.DefaultOptions(), os.Stdout)
 	code := run(settings, settingsReloader, signaller.Incoming(), newLog(spool, *level).With("entry", settings.Instance))
--- a/relay/acceptor/acceptor.go
+++ b/relay/acceptor/acceptor.go
@@ -27,6 +27,10 @@
 	maxIdle          = 5 * sequoiasill.Minute
 	// defaultHeaderTimeout applies without a configured one.
 	defaultHeaderTimeout = 3 * sequoiasill.Second
+	// defaultHeaderBytes and defaultBodyBytes are the maximum sizes of a header and a body without configured
+	// ones. The handler has the same.
+	defaultHeaderBytes = 16 << 10
+	defaultBodyBytes   = 4 << 20
 	// transitAllowance is added to the configured time for a header, which starts at the caller: lost
 	// segments are sent again within it.
 	transitAllowance = sequoiasill.Second
@@ -48,6 +52,7 @@
 	listener  net.Listener
 	limits    func() sequoiasill.CallerLimits
 	requestID func(*http.Request) string
+	budget    *Budget
 	meter     Meter
 	log       hclog.Logger
 
@@ -63,9 +68,10 @@
 }
 
 // New serves callers on l until Shutdown. limits returns the configured limits, of which the acceptor
-// applies the timeouts, and requestID the ID by which a request is logged.
-func New(l net.Listener, h http.Handler, limits func() sequoiasill.CallerLimits, requestID func(*http.Request) string, m Meter, log hclog.Logger) *Acceptor {
-	a := &Acceptor{listener: l, limits: limits, requestID: requestID, meter: m, log: log.Named("acceptor"), conns: make(map[*callerConn]bool)}
+// applies the timeouts and the size of a header while it is read, and requestID the ID by which a request is
+// logged. All that callers send is reserved in the budget.
+func New(l net.Listener, h http.Handler, limits func() sequoiasill.CallerLimits, requestID func(*http.Request) string, budget *Budget, m Meter, log hclog.Logger) *Acceptor {
+	a := &Acceptor{listener: l, limits: limits, requestID: requestID, budget: budget, meter: m, log: log.Named("acceptor"), conns: make(map[*callerConn]bool)}
 	// The connections have the timeouts of the server.
 	a.server = &http.Server{
 		Handler: a.trackRequests(a.closeWhenDraining(h)), DisableGeneralOptionsHandler: true, MaxHeaderBytes: maxHeaderBytes, ConnState: a.trackState,
@@ -105,6 +111,7 @@
 		a.mu.Lock()
 		delete(a.conns, k)
 		a.mu.Unlock()
+		k.input.close()
 	}
 }
 
@@ -115,6 +122,12 @@
 	if l.HeaderTimeout <= 0 {
 		l.HeaderTimeout = defaultHeaderTimeout
 	}
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = defaultHeaderBytes
+	}
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = defaultBodyBytes
+	}
 	l.HeaderTimeout = min(l.HeaderTimeout, maxHeaderTimeout) + transitAllowance
 	return l
 }
@@ -165,18 +178,32 @@
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	k, err := l.accept()
 	if err != nil {
 		return nil, err
 	}
-	now := time.Now()
-	k := &callerConn{Conn: c, acceptor: l.acceptor, acceptedAt: now, waitSince: now}
 	l.acceptor.mu.Lock()
 	l.acceptor.conns[k] = true
 	l.acceptor.mu.Unlock()
 	return k, nil
 }
 
+// accept accepts the next connection for which there is room.
+func (l *callerListener) accept() (*callerConn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		now := time.Now()
+		k := &callerConn{Conn: c, acceptor: l.acceptor, acceptedAt: now, waitSince: now}
+		if l.acceptor.budget.open(k) {
+			return k, nil
+		}
+		_ = c.Close()
+	}
+}
+
 // Listen opens a TCP listener that detects callers that disappeared without closing.
 func Listen(address string) (net.Listener, error) {
 	lc := net.ListenConfig{KeepAliveConfig: callerKeepAlive}
--- a/relay/acceptor/conn.go
+++ b/relay/acceptor/conn.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/reserver"
 )
 
 // callerConn is a caller's connection. It is closed for want of a request only by its own Read, and
@@ -20,18 +21,21 @@
 
 	acceptor   *Acceptor
 	acceptedAt time.Time
+	input      *Input // set before the first read
 
 	mu          sync.Mutex
 	state       http.ConnState
-	waitSince   time.Time // when the connection was accepted, or its last response ended
-	headerSince time.Time // when part of the pending request was first read; zero if none was
-	bufferSize  int       // of the server's empty read buffer, 0 until the first read
-	bytes       int       // read since the last response
-	request     *request  // in the handler or the last one there; nil while a header is read
-	cause       string    // why this process closed the connection; empty if it did not
-	rejection   int       // status with which net/http rejected a request itself, 0 for none
-	readErr     error     // that ended the reading
-	writeErr    error     // that ended the writing
+	waitSince   time.Time   // when the connection was accepted, or its last response ended
+	headerSince time.Time   // when part of the pending request was first read; zero if none was
+	bufferSize  int         // of the server's empty read buffer, 0 until the first read
+	bytes       int         // read since the last response
+	head        headScanner // of the pending request; used only by the goroutine that serves the connection
+	body        int         // bytes read since the head of the pending request ended
+	request     *request    // in the handler or the last one there; nil while a header is read
+	cause       string      // why this process closed the connection; empty if it did not
+	rejection   int         // status with which net/http rejected a request itself, 0 for none
+	readErr     error       // that ended the reading
+	writeErr    error       // that ended the writing
 }
 
 // Read implements net.Conn.
@@ -52,10 +56,92 @@
 			}
 		}
 		c.recordRead(n, err)
+		if n > 0 {
+			if rejected := c.admit(waits, p[:n]); rejected != nil {
+				return 0, rejected
+			}
+		}
 		return n, err
 	}
 }
 
+// admit decides whether the server gets bytes that were read. It rejects a head beyond the limits, and one
+// for which there is no memory, before the server parses it.
+func (c *callerConn) admit(waits bool, p []byte) error {
+	c.input.received(len(p))
+	limits := c.acceptor.currentLimits()
+	if !waits {
+		c.mu.Lock()
+		c.body += len(p)
+		size := c.body
+		c.mu.Unlock()
+		if size <= limits.BodyBytes*maxFramingFactor+framingSlack {
+			return nil
+		}
+		c.input.reportLimit(reasonFraming, c, size)
+		c.setCause(causeRejected)
+		return errFraming
+	}
+	c.input.setPhase(reserver.Reading)
+	c.head.scan(p)
+	switch {
+	case c.head.exceeds(limits.HeaderBytes):
+		c.input.reportLimit(reasonHead, c, c.head.bytes)
+		c.reject(causeHeadTooLarge, headTooLargeResponse)
+	case !c.input.reserveHead(c.head.cost()):
+		c.reject(causeBudget, noMemoryResponse)
+	default:
+		return nil
+	}
+	return os.ErrDeadlineExceeded
+}
+
+const (
+	// maxFramingFactor is the size of a body on the connection, relative to the size of its content: a chunk
+	// of one byte has five of framing. Extensions of chunks and trailers have the rest, and framingSlack.
+	maxFramingFactor = 8
+	framingSlack     = 64 << 10 // bytes
+)
+
+// errFraming is the error of a body whose framing is far larger than its content.
+const errFraming = errors.ConstError("framing of the body is too large")
+
+const (
+	headTooLargeResponse = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	noMemoryResponse     = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
+
+// reject responds to a request that the server does not get, and ends the connection.
+func (c *callerConn) reject(cause, response string) {
+	if !c.setCause(cause) {
+		return // it was closed meanwhile
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(rejectTimeout.Duration()))
+	_, err := io.WriteString(c.Conn, response)
+	c.recordWrite(nil, err)
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok && err == nil && tcp.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(rejectLinger))
+		_, _ = io.CopyN(io.Discard, c.Conn, rejectLingerBytes)
+	}
+}
+
+// setCause sets why this process ends the connection. It returns false if there is a cause already.
+func (c *callerConn) setCause(cause string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cause != "" {
+		return false
+	}
+	c.cause = cause
+	return true
+}
+
+// closeFor closes the connection, also while it is read.
+func (c *callerConn) closeFor(cause string) {
+	c.setCause(cause)
+	_ = c.Conn.Close()
+}
+
 // startWait limits the next read if the server waits for a request or for the rest of a header, and
 // reports whether it does. Size is that of the free part of the server's buffer: a part in use holds
 // bytes of the next request. No read follows one that ended the wait, as the server takes what it has
@@ -147,12 +233,16 @@
 	defer c.mu.Unlock()
 	before := c.state
 	c.state = s
+	if s == http.StateIdle {
+		c.input.endRequest()
+	}
 	switch s {
 	case http.StateActive:
 		c.request = nil
 		_ = c.SetReadDeadline(time.Time{})
 	case http.StateIdle:
 		c.waitSince, c.headerSince, c.bytes = time.Now(), time.Time{}, 0
+		c.body, c.head = 0, headScanner{}
 	}
 	return before
 }
@@ -167,10 +257,14 @@
 	return n, err
 }
 
-// isRejected reports whether the header of a request came too slowly, so that the server's response is
-// replaced.
+// isRejected reports whether a request was rejected before the server got its header, so that the server's
+// response is replaced.
 func (c *callerConn) isRejected() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.cause == causeHeaderTimeout
+	switch c.cause {
+	case causeHeaderTimeout, causeHeadTooLarge, causeBudget:
+		return true
+	}
+	return false
 }
--- a/relay/acceptor/ends.go
+++ b/relay/acceptor/ends.go
@@ -24,6 +24,8 @@
 	causeStop          = string(sequoiasill.EndedByStop)
 	causeRejected      = "rejected"
 	causeNotDelivered  = "not delivered"
+	causeHeadTooLarge  = "header too large"
+	causeBudget        = "memory budget" // closed or refused as callers' input takes too much memory
 )
 
 // connKey is the key of a request's connection in its context.
@@ -46,6 +48,10 @@
 		}
 		r := c.begin(a.requestID(req))
 		defer c.end(r)
+		if !c.input.reserveHead(headerCost(headerSize(req))) {
+			refuseUnserved(w)
+			return
+		}
 		ctx, cancel := context.WithCancelCause(context.WithoutCancel(req.Context()))
 		defer cancel(nil)
 		stop := context.AfterFunc(req.Context(), func() { cancel(c.endError()) })
@@ -54,6 +60,27 @@
 	})
 }
 
+// headerSize returns the bytes and the lines of a parsed header. Part of the header may have been read with
+// the request before, when nothing counted its lines.
+func headerSize(req *http.Request) (bytes, lines int) {
+	bytes = len(req.Method) + len(req.RequestURI) + len(req.Host)
+	for name, values := range req.Header {
+		lines += len(values)
+		for _, v := range values {
+			bytes += len(name) + len(v) + shortestLine
+		}
+	}
+	return bytes, lines
+}
+
+// refuseUnserved refuses a request for which there is no memory, before it is dispatched.
+func refuseUnserved(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Connection", "close")
+	h.Set("Retry-After", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // begin records that the handler serves a request.
 func (c *callerConn) begin(id string) *request {
 	c.mu.Lock()
--- a/relay/acceptor/ends_test.go
+++ b/relay/acceptor/ends_test.go
@@ -15,8 +15,17 @@
 	"github.com/hashicorp/go-hclog"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/reserver"
 )
 
+// newBudget returns a budget without a log.
+func newBudget(bytes int64, connections int) *Budget {
+	return NewBudget(reserver.DefaultOptions(bytes, connections), sequoiasill.NewSystemClock(), &causes{}, hclog.NewNullLogger())
+}
+
+// CallerInputClosed implements BudgetMeter.
+func (c *causes) CallerInputClosed(reason string) { c.CallerEnded(reason) }
+
 // causes counts the ends by cause.
 type causes struct {
 	mu     sync.Mutex
@@ -74,7 +83,7 @@
 	a := New(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_ = remote.Close()
 		_, _ = io.WriteString(w, "response")
-	}), func() sequoiasill.CallerLimits { return sequoiasill.CallerLimits{IdleTimeout: sequoiasill.Minute} }, func(r *http.Request) string { return r.Header.Get("Id") }, counts, log)
+	}), func() sequoiasill.CallerLimits { return sequoiasill.CallerLimits{IdleTimeout: sequoiasill.Minute} }, func(r *http.Request) string { return r.Header.Get("Id") }, newBudget(100<<20, 1000), counts, log)
 	_, _ = io.WriteString(remote, "GET / HTTP/1.1\r\nHost: kiosk.example\r\nId: r1\r\n\r\n")
 	for end := time.Now().Add(5 * time.Second); len(counts.get()) == 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
--- a/relay/acceptor/idle_test.go
+++ b/relay/acceptor/idle_test.go
@@ -31,7 +31,7 @@
 // serveLimited starts an acceptor with the limits of a configuration.
 func serveLimited(t *testing.T, l net.Listener, limits func() sequoiasill.CallerLimits, h http.HandlerFunc) *Acceptor {
 	t.Helper()
-	a := New(l, h, limits, func(*http.Request) string { return "" }, &causes{}, hclog.NewNullLogger())
+	a := New(l, h, limits, func(*http.Request) string { return "" }, newBudget(100<<20, 1000), &causes{}, hclog.NewNullLogger())
 	t.Cleanup(func() {
 		a.Drain()
 		a.Shutdown(sequoiasill.Second)
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -61,6 +61,12 @@
 	m.count(fmt.Sprintf(`sequoia_caller_ends_total{cause=%q}`, cause))
 }
 
+// CallerInputClosed counts a connection of a caller that was closed, or a request that was refused, for what
+// it sent, by reason.
+func (m *Meter) CallerInputClosed(reason string) {
+	m.count(fmt.Sprintf(`sequoia_caller_input_closed_total{reason=%q}`, reason))
+}
+
 // RetryRequested counts a retry of a call to a service that was requested, by whether it was
 // allowed.
 func (m *Meter) RetryRequested(service string, allowed bool) {
--- a/relay/relayer/client.go
+++ b/relay/relayer/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/peerpicker"
@@ -43,20 +45,50 @@
 	bufferBytes = 8 << 10
 )
 
+// Memory reserves memory for copies of calls.
+type Memory interface {
+	// Hold returns false if there is no room for the bytes. If it returns true, release must be called.
+	Hold(bytes int64) (release func(), ok bool)
+}
+
+// copiesOfCall is the number of copies of a call that are held at a time while it is sent to another entry
+// or received from one: the message and its parts, or those and the decoded call.
+const copiesOfCall = 2
+
+// sizeKey is the metadata key of the size of a call in bytes, which comes before the call. Earlier builds
+// neither send nor read it.
+const sizeKey = "call-bytes"
+
+// callSize returns the size of a call in memory, in bytes, 0 of an offer without its call.
+func callSize(call *sequoiasill.Call) int64 {
+	if call == nil {
+		return 0
+	}
+	const perField = 128 // of a header, in addition to its text
+	size := len(call.Body) + len(call.Target)
+	for name, values := range call.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + perField
+		}
+	}
+	return int64(size)
+}
+
 // Client lets other entries serve calls. It is safe for concurrent use.
 type Client struct {
-	peers Peers
-	clock sequoiasill.Clock
-	log   hclog.Logger
+	peers  Peers
+	memory Memory
+	clock  sequoiasill.Clock
+	log    hclog.Logger
 
 	mu     sync.Mutex
 	picker *peerpicker.Picker
 	conns  map[string]*grpc.ClientConn // by address
 }
 
-// NewClient returns a client that chooses among the peers with p.
-func NewClient(p *peerpicker.Picker, peers Peers, clock sequoiasill.Clock, log hclog.Logger) *Client {
-	return &Client{peers: peers, clock: clock, log: log.Named("relayer"), picker: p, conns: make(map[string]*grpc.ClientConn)}
+// NewClient returns a client that chooses among the peers with p. Copies of calls are reserved in memory.
+func NewClient(p *peerpicker.Picker, peers Peers, memory Memory, clock sequoiasill.Clock, log hclog.Logger) *Client {
+	return &Client{peers: peers, memory: memory, clock: clock, log: log.Named("relayer"), picker: p, conns: make(map[string]*grpc.ClientConn)}
 }
 
 // Close closes the connections to other entries.
@@ -97,14 +129,22 @@
 // Ran returns the verdict.
 func (e *Error) Ran() sequoiasill.Verdict { return e.Verdict }
 
+// errNoMemory is the error of a call whose copy would take too much memory.
+const errNoMemory = errors.ConstError("no memory for a copy of the call")
+
 // Send implements dispatcher.Relays.
 func (c *Client) Send(ctx context.Context, p peerpicker.Peer, call dispatcher.RelayedCall) (*dispatcher.Response, error) {
+	release, ok := c.memory.Hold(copiesOfCall * callSize(call.Call))
+	if !ok {
+		return nil, &Error{Verdict: sequoiasill.NotRun, Op: "offer to " + p.Name, Err: errNoMemory}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
 	c.picker.Started(p.Name)
 	c.mu.Unlock()
 	done := sync.OnceFunc(func() {
 		cancel()
+		release()
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.picker.Ended(p.Name)
@@ -162,6 +202,7 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx = metadata.AppendToOutgoingContext(ctx, sizeKey, strconv.FormatInt(callSize(call.Call), 10))
 	stream, err := relaypb.NewRelayClient(conn).Serve(ctx)
 	if err != nil {
 		return nil, err
--- a/relay/relayer/relayer_test.go
+++ b/relay/relayer/relayer_test.go
@@ -45,6 +45,11 @@
 
 func (p peers) NoneReaches(string) bool { return false }
 
+// memory has room for everything.
+type memory struct{}
+
+func (memory) Hold(int64) (func(), bool) { return func() {}, true }
+
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -56,7 +61,7 @@
 
 func newClient(t *testing.T, address string) *relayer.Client {
 	t.Helper()
-	c := relayer.NewClient(peerpicker.New(peerpicker.DefaultOptions(), "a", 1), peers{address}, clock, hclog.NewNullLogger())
+	c := relayer.NewClient(peerpicker.New(peerpicker.DefaultOptions(), "a", 1), peers{address}, memory{}, clock, hclog.NewNullLogger())
 	t.Cleanup(c.Close)
 	return c
 }
@@ -134,7 +139,7 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			l := listen(t)
-			s := relayer.NewServer(l, &fakeDispatcher{refusal: tc.refusal, serve: tc.serve}, clock, hclog.NewNullLogger())
+			s := relayer.NewServer(l, &fakeDispatcher{refusal: tc.refusal, serve: tc.serve}, memory{}, clock, hclog.NewNullLogger())
 			t.Cleanup(s.Close)
 			r, err := send(context.Background(), t, newClient(t, l.Addr().String()))
 			if tc.failed {
@@ -171,7 +176,7 @@
 	s := relayer.NewServer(l, &fakeDispatcher{serve: func(_ context.Context, call *sequoiasill.Call, n int, reply dispatcher.RelayWriter) {
 		got, runs = call, n
 		_ = reply.SendWhole(200, nil, nil)
-	}}, clock, hclog.NewNullLogger())
+	}}, memory{}, clock, hclog.NewNullLogger())
 	t.Cleanup(s.Close)
 	before := clock.Now()
 	r, err := send(context.Background(), t, newClient(t, l.Addr().String()))
@@ -222,7 +227,7 @@
 		<-ctx.Done()
 		reply.Abort()
 		close(ended)
-	}}, clock, hclog.NewNullLogger())
+	}}, memory{}, clock, hclog.NewNullLogger())
 	t.Cleanup(s.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
@@ -244,7 +249,7 @@
 		close(started)
 		time.Sleep(200 * time.Millisecond)
 		_ = reply.SendWhole(200, nil, []byte("good"))
-	}}, clock, hclog.NewNullLogger())
+	}}, memory{}, clock, hclog.NewNullLogger())
 	go func() {
 		<-started
 		s.Shutdown(5 * sequoiasill.Second)
--- a/relay/relayer/server.go
+++ b/relay/relayer/server.go
@@ -36,16 +36,29 @@
 	relaypb.UnimplementedRelayServer
 
 	dispatcher Dispatcher
+	memory     Memory
 	clock      sequoiasill.Clock
 	log        hclog.Logger
 	server     *grpc.Server
 }
 
-// NewServer serves calls on l.
-func NewServer(l net.Listener, d Dispatcher, clock sequoiasill.Clock, log hclog.Logger) *Server {
-	s := &Server{dispatcher: d, clock: clock, log: log.Named("relayer")}
+const (
+	// maxMetadataBytes bounds the metadata of a stream, which other entries write. gRPC allows 16 MB.
+	maxMetadataBytes = 8 << 10
+	// maxStreams bounds the streams of one connection, that is of one entry: twice the relayed calls that an
+	// entry serves at a time.
+	maxStreams = 512
+	// streamWindowBytes bounds what is received of a call before it is reserved and read. gRPC otherwise
+	// lets it grow to 16 MB.
+	streamWindowBytes = 64 << 10
+)
+
+// NewServer serves calls on l. Copies of calls are reserved in memory.
+func NewServer(l net.Listener, d Dispatcher, memory Memory, clock sequoiasill.Clock, log hclog.Logger) *Server {
+	s := &Server{dispatcher: d, memory: memory, clock: clock, log: log.Named("relayer")}
 	s.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
-		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes))
+		grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
+		grpc.MaxHeaderListSize(maxMetadataBytes), grpc.MaxConcurrentStreams(maxStreams), grpc.StaticStreamWindowSize(streamWindowBytes))
 	relaypb.RegisterRelayServer(s.server, s)
 	go func() {
 		if err := s.server.Serve(l); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
@@ -78,6 +91,12 @@
 	if f := s.dispatcher.AcceptRelayed(offer.GetService(), offer.GetTrafficVersion()); f != nil {
 		return stream.Send(encodeRefusal(f, 0, 0))
 	}
+	size, announced := announcedSize(stream.Context())
+	release, ok := s.memory.Hold(copiesOfCall * size)
+	if !ok {
+		return stream.Send(encodeRefusal(noMemory(), 0, 0))
+	}
+	defer release()
 	acceptedAt := s.clock.Now()
 	if err := stream.Send(&relaypb.ServeResponse{Part: &relaypb.ServeResponse_Accepted{Accepted: &relaypb.Accepted{}}}); err != nil {
 		return err
@@ -94,6 +113,14 @@
 		return stream.Send(encodeRefusal(sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeNoUpstream, http.StatusServiceUnavailable,
 			"call came %s after its offer was accepted", now-acceptedAt), int(call.GetRuns()), 0))
 	}
+	if !announced {
+		// The call takes more than was assumed.
+		more, ok := s.memory.Hold(int64(len(call.GetBody())))
+		if !ok {
+			return stream.Send(encodeRefusal(noMemory(), int(call.GetRuns()), 0))
+		}
+		defer more()
+	}
 	w := &writer{stream: stream}
 	s.serve(stream.Context(), call, now, w)
 	if w.aborted {
@@ -103,6 +130,30 @@
 	return nil
 }
 
+// assumedSize is the size of a call in bytes of which the other entry announces none, as earlier builds do.
+// Most calls are smaller; what the call takes is reserved once it has come.
+const assumedSize = 32 << 10
+
+// announcedSize returns the size of the call that follows an offer, in bytes, and whether the other entry
+// announced it.
+func announcedSize(ctx context.Context) (int64, bool) {
+	md, _ := metadata.FromIncomingContext(ctx)
+	for _, v := range md.Get(sizeKey) {
+		if n, err := strconv.ParseInt(v, 10, 64); err == nil && n >= 0 {
+			return min(n, maxMessageBytes), true
+		}
+	}
+	return assumedSize, false
+}
+
+// noMemory returns the refusal of a call for which there is no memory. It has not run here.
+func noMemory() *sequoiasill.Failure {
+	return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeOverloaded, http.StatusServiceUnavailable, "entry holds too many calls").WithRetryAfter(memoryRetryAfter)
+}
+
+// memoryRetryAfter is the time after which a call that found no memory is repeated.
+const memoryRetryAfter = 500 * sequoiasill.Millis(1)
+
 // serve serves a call. A panic, which gRPC would let end the process, is reported as a failure of a
 // call that may have run.
 func (s *Server) serve(ctx context.Context, call *relaypb.Call, now sequoiasill.Millis, w *writer) {
