--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,12 @@
 run:
 	$(GO) run ./cmd/sequoia-dev --log-level warn
 
-# Runs all tests.
+# Runs all tests. Those of what callers send bound the memory of a process, so they run afterwards, alone and
+# without the race detector.
 test:
-	$(GO) test -race -timeout 30m work
+	status=0; $(GO) test -race -timeout 30m work || status=$$?; \
+		$(GO) test -tags callerinput -count=1 -p 1 -timeout 20m -run '^TestCallerInput$$' ./cmd/sequoia-edge || status=$$?; \
+		exit $$status
 
 build:
 	$(GO) build -o bin/ ./cmd/...
--- a/relay/acceptor/budget.go
+++ b/relay/acceptor/budget.go
@@ -74,29 +74,33 @@
 // open adds a connection. It returns false if there is no room for it.
 func (b *Budget) open(c *callerConn) bool {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.last++
 	closings, ok := b.reserver.Open(b.clock.Now(), b.last, connectionBytes)
-	b.closeAll(closings)
-	if !ok {
+	victims := b.remove(closings)
+	if ok {
+		c.input = &Input{budget: b, id: b.last}
+		b.conns[b.last] = c
+	} else {
 		b.report(reasonRefused, c, 0, 0)
-		return false
 	}
-	c.input = &Input{budget: b, id: b.last}
-	b.conns[b.last] = c
-	return true
+	b.mu.Unlock()
+	closeAll(victims)
+	return ok
 }
 
 // Hold reserves memory for a copy of a call. If it returns true, release must be called.
 func (b *Budget) Hold(bytes int64) (release func(), ok bool) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.last++
 	id := b.last
 	closings, ok := b.reserver.Hold(b.clock.Now(), id, bytes)
-	b.closeAll(closings)
+	victims := b.remove(closings)
 	if !ok {
 		b.report(reasonRefused, nil, 0, 0)
+	}
+	b.mu.Unlock()
+	closeAll(victims)
+	if !ok {
 		return nil, false
 	}
 	return func() {
@@ -106,14 +110,23 @@
 	}, true
 }
 
-// closeAll closes connections. The caller holds the lock; a connection is closed without it, as it may
-// be about to use the budget.
-func (b *Budget) closeAll(closings []reserver.Closing) {
+// remove removes the connections that are to be closed, and returns them. The caller holds the lock.
+func (b *Budget) remove(closings []reserver.Closing) []*callerConn {
+	var out []*callerConn
 	for _, closing := range closings {
 		c := b.conns[closing.ID]
 		delete(b.conns, closing.ID)
 		b.report(string(closing.Reason), c, closing.Share, closing.SinceLatest)
-		go c.closeFor(causeBudget)
+		out = append(out, c)
+	}
+	return out
+}
+
+// closeAll closes connections. The caller does not hold the lock of the budget, as the connections hold
+// theirs while they use it.
+func closeAll(conns []*callerConn) {
+	for _, c := range conns {
+		c.closeFor(causeBudget)
 	}
 }
 
@@ -173,12 +186,13 @@
 func (i *Input) reserve(bytes int64) bool {
 	b := i.budget
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	closings, ok := b.reserver.Reserve(b.clock.Now(), i.id, bytes)
-	b.closeAll(closings)
-	if !ok && b.conns[i.id] != nil {
-		b.report(reasonRefused, b.conns[i.id], 0, 0)
+	victims := b.remove(closings)
+	if c := b.conns[i.id]; !ok && c != nil {
+		b.report(reasonRefused, c, bytes, 0)
 	}
+	b.mu.Unlock()
+	closeAll(victims)
 	return ok
 }
 
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -83,7 +83,10 @@
 func (d *Dispatcher) serve(ctx context.Context, call *sequoiasill.Call, reply ResponseWriter, prepare func(j *job)) {
 	d.active.Add(1)
 	defer d.active.Add(-1)
-	j := &job{call: call, reply: reply, tried: make(map[string]bool), triedPeers: make(map[string]bool), events: numbering{last: call.LastEvent}}
+	// What refers to the job after its end, such as a failure that is not attributed yet, does not keep the body.
+	own := *call
+	defer func() { own.Body = nil }()
+	j := &job{call: &own, reply: reply, tried: make(map[string]bool), triedPeers: make(map[string]bool), events: numbering{last: call.LastEvent}}
 	prepare(j)
 	failure := d.admit(j)
 	if failure != nil {
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -90,8 +90,10 @@
 	replicaTTL = 2 * sequoiasill.Minute
 	// pullTimeout is the timeout of one attempt to pull the configuration, from the store or
 	// another entry.
-	pullTimeout  = 800 * time.Millisecond
-	pullInterval = 250 * time.Millisecond
+	pullTimeout = 800 * time.Millisecond
+	// maxPullHeaderBytes bounds the header of a request for the configuration. The server adds 4 KB.
+	maxPullHeaderBytes = 4 << 10
+	pullInterval       = 250 * time.Millisecond
 	// maxConfigBytes is the maximum size of a configuration; the store limits values to one
 	// megabyte.
 	maxConfigBytes = 4 << 20
@@ -247,7 +249,7 @@
 	e.gossip.SetSeeds(opts.Seeds)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configPath, e.serveConfig)
-	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: pullTimeout}
+	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: pullTimeout, MaxHeaderBytes: maxPullHeaderBytes}
 	go func() {
 		if err := e.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			e.log.Error("HTTP server for other entries stopped", "error", err)
--- a/relay/relayer/client.go
+++ b/relay/relayer/client.go
@@ -55,15 +55,12 @@
 // or received from one: the message and its parts, or those and the decoded call.
 const copiesOfCall = 2
 
-// sizeKey is the metadata key of the size of a call in bytes, which comes before the call. Earlier builds
-// neither send nor read it.
+// sizeKey is the metadata key of the size of a call in bytes, which comes with its offer. Earlier builds
+// neither send nor read it, and an offer that no call follows has none.
 const sizeKey = "call-bytes"
 
-// callSize returns the size of a call in memory, in bytes, 0 of an offer without its call.
+// callSize returns the size of a call in memory, in bytes.
 func callSize(call *sequoiasill.Call) int64 {
-	if call == nil {
-		return 0
-	}
 	const perField = 128 // of a header, in addition to its text
 	size := len(call.Body) + len(call.Target)
 	for name, values := range call.Header {
@@ -134,11 +131,12 @@
 
 // Send implements dispatcher.Relays.
 func (c *Client) Send(ctx context.Context, p peerpicker.Peer, call dispatcher.RelayedCall) (*dispatcher.Response, error) {
-	release, ok := c.memory.Hold(copiesOfCall * callSize(call.Call))
+	size := callSize(call.Call)
+	release, ok := c.memory.Hold(copiesOfCall * size)
 	if !ok {
 		return nil, &Error{Verdict: sequoiasill.NotRun, Op: "offer to " + p.Name, Err: errNoMemory}
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(metadata.AppendToOutgoingContext(ctx, sizeKey, strconv.FormatInt(size, 10)))
 	c.mu.Lock()
 	c.picker.Started(p.Name)
 	c.mu.Unlock()
@@ -202,7 +200,6 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx = metadata.AppendToOutgoingContext(ctx, sizeKey, strconv.FormatInt(callSize(call.Call), 10))
 	stream, err := relaypb.NewRelayClient(conn).Serve(ctx)
 	if err != nil {
 		return nil, err
