--- a/decide/reserver/reserver.go
+++ b/decide/reserver/reserver.go
@@ -68,7 +68,7 @@
 
 const (
 	Stalled     Reason = "stalled"     // it holds memory without progress
-	Largest     Reason = "largest"     // it holds the most memory when an ordinary request needs some
+	Largest     Reason = "largest"     // it holds the most memory when a smaller, ordinary request needs some
 	Connections Reason = "connections" // all connections are taken
 )
 
@@ -154,7 +154,7 @@
 		victim, found := r.largestStalled(now, id)
 		reason := Stalled
 		if !found && isSmall {
-			victim, found = r.largestReading(id)
+			victim, found = r.largestAbove(id, h.share+bytes)
 			reason = Largest
 		}
 		if !found {
@@ -245,10 +245,10 @@
 	})
 }
 
-// largestReading returns the connection with a large share that holds the most, whether or not it makes
+// largestAbove returns the connection that holds the most and more than a share, whether or not it makes
 // progress.
-func (r *Reserver) largestReading(except ID) (ID, bool) {
-	return r.best(except, func(h *holder) bool { return h.share > r.opts.SmallBytes }, func(a, b *holder) bool { return a.share > b.share })
+func (r *Reserver) largestAbove(except ID, share int64) (ID, bool) {
+	return r.best(except, func(h *holder) bool { return h.share > share }, func(a, b *holder) bool { return a.share > b.share })
 }
 
 // longestIdle returns the connection that waits longest without a request.
--- a/decide/reserver/reserver_test.go
+++ b/decide/reserver/reserver_test.go
@@ -40,6 +40,8 @@
 		"stalled before its first request":    {map[ID]open{1: {Idle, 700, 0}, 2: {Reading, 90, now}}, 10, 200, []ID{1}, true},
 		"large, others make progress":         {map[ID]open{1: {Reading, 400, now}, 2: {Reading, 390, now}}, 10, 200, nil, false},
 		"small, others make progress":         {map[ID]open{1: {Reading, 600, now}, 2: {Reading, 390, now}}, 10, 80, []ID{1}, true},
+		"small, larger small ones":            {map[ID]open{1: {Running, 850, 0}, 2: {Reading, 95, now}, 3: {Reading, 40, now}}, 10, 40, []ID{2}, true},
+		"small, no larger ones":               {map[ID]open{1: {Running, 850, 0}, 2: {Reading, 70, now}, 3: {Reading, 70, now}}, 10, 70, nil, false},
 		"small, calls run":                    {map[ID]open{1: {Running, 600, 0}, 2: {Running, 200, 0}}, 10, 80, nil, true},
 		"large, calls run":                    {map[ID]open{1: {Running, 600, 0}, 2: {Running, 190, 0}}, 10, 200, nil, false},
 		"large alone beyond the budget":       {map[ID]open{1: {Idle, 10, now}}, 10, 2000, nil, true},
--- a/relay/acceptor/budget.go
+++ b/relay/acceptor/budget.go
@@ -16,7 +16,7 @@
 	// stacks of its goroutines and its state. 13 KB were measured for one with a part of a request.
 	connectionBytes = 16 << 10
 	// headerByteCost and headerLineCost are what a header holds for each byte and line: the buffers of the
-	// server, the parsed map (85 bytes a line were measured for short ones) and the copy of it that is sent to
+	// server, the parsed map (91 bytes a line were measured for short ones) and the copy of it that is sent to
 	// an upstream.
 	headerByteCost = 3
 	headerLineCost = 256
