--- a/relay/acceptor/acceptor.go
+++ b/relay/acceptor/acceptor.go
@@ -56,7 +56,8 @@
 	meter     Meter
 	log       hclog.Logger
 
-	draining atomic.Bool
+	draining  atomic.Bool
+	lingering atomic.Int64 // connections whose request was rejected
 
 	mu    sync.Mutex
 	conns map[*callerConn]bool
--- a/relay/acceptor/budget.go
+++ b/relay/acceptor/budget.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -277,10 +276,3 @@
 	defer b.mu.Unlock()
 	b.report(reason, c, int64(bytes), 0)
 }
-
-// rejectLinger bounds the time, and rejectLingerBytes the bytes, that are read from a caller whose request
-// was rejected: with unread bytes the close would reset the connection before the response is read.
-const (
-	rejectLinger      = 500 * time.Millisecond
-	rejectLingerBytes = 256 << 10
-)
--- a/relay/acceptor/conn.go
+++ b/relay/acceptor/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"sync"
 	"time"
 
@@ -69,6 +70,9 @@
 // for which there is no memory, before the server parses it.
 func (c *callerConn) admit(waits bool, p []byte) error {
 	c.input.received(len(p))
+	// A caller that sends continuously would keep the processor for a time slice of 10 ms; with chunks of one
+	// byte a buffer takes less than 0.1 ms.
+	runtime.Gosched()
 	limits := c.acceptor.currentLimits()
 	if !waits {
 		c.mu.Lock()
@@ -119,12 +123,34 @@
 	_ = c.SetWriteDeadline(time.Now().Add(rejectTimeout.Duration()))
 	_, err := io.WriteString(c.Conn, response)
 	c.recordWrite(nil, err)
-	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok && err == nil && tcp.CloseWrite() == nil {
-		_ = c.SetReadDeadline(time.Now().Add(rejectLinger))
-		_, _ = io.CopyN(io.Discard, c.Conn, rejectLingerBytes)
+	if err == nil {
+		c.linger()
 	}
 }
 
+// linger reads what a caller still sends whose request was rejected, unless many do so.
+func (c *callerConn) linger() {
+	tcp, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return
+	}
+	defer c.acceptor.lingering.Add(-1)
+	if c.acceptor.lingering.Add(1) > maxLingering || tcp.CloseWrite() != nil {
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(rejectLinger))
+	_, _ = io.CopyN(io.Discard, c.Conn, rejectLingerBytes)
+}
+
+// rejectLinger bounds the time, and rejectLingerBytes the bytes, that are read from a caller whose request
+// was rejected: with unread bytes the close would reset the connection before the response is read.
+// maxLingering bounds such connections at a time, as they keep others out.
+const (
+	rejectLinger      = 500 * time.Millisecond
+	rejectLingerBytes = 256 << 10
+	maxLingering      = 16
+)
+
 // setCause sets why this process ends the connection. It returns false if there is a cause already.
 func (c *callerConn) setCause(cause string) bool {
 	c.mu.Lock()
--- a/relay/acceptor/ends.go
+++ b/relay/acceptor/ends.go
@@ -189,6 +189,11 @@
 	case c.readErr != nil:
 		args = append(args, "error", c.readErr)
 	}
+	if cause == causeBudget {
+		// The budget logs these, as many as it bounds.
+		a.log.Debug("connection ended", args...)
+		return
+	}
 	a.log.Info("connection ended", args...)
 }
 
