--- a/cmd/sequoia-edge/callerinput_test.go
+++ b/cmd/sequoia-edge/callerinput_test.go
@@ -291,8 +291,8 @@
 	bodyBytes = 4 << 20 // maxBodyBytes of the configuration
 )
 
-func head(n int, path, fields string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: kiosk.example\r\nRequest-Id: r%d\r\n%s\r\n", path, n, fields)
+func head(path, fields string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: kiosk.example\r\nRequest-Id: r0\r\n%s\r\n", path, fields)
 }
 
 func sendAll(parts ...string) func(w io.Writer, n int) error {
@@ -331,19 +331,19 @@
 	length := fmt.Sprintf("Content-Length: %d\r\n", bodyBytes)
 	byteChunks := strings.Repeat("1\r\nx\r\n", 10_000)
 	return map[string]kind{
-		"heads of 1 MB of short lines":       {conns: 60, send: sendAll(head(0, "/a/x", shortLines(megabyte-8192)))},
-		"bodies in chunks, not ended":        {conns: 60, send: sendAll(append([]string{head(0, "/a/x", "Transfer-Encoding: chunked\r\n")}, repeated(bodyBytes/chunk-1, chunkOf4096)...)...)},
-		"bodies without their last byte":     {conns: 60, send: sendAll(head(0, "/a/x", length), wholeBody[1:])},
-		"whole bodies again and again":       {conns: 60, send: sendAll(repeated(8, head(0, "/a/x", length)+wholeBody)...)},
-		"endless heads of short lines":       {conns: 60, send: sendAll(append([]string{strings.TrimSuffix(head(0, "/a/x", ""), "\r\n")}, repeated(1000, shortLines(4096))...)...)},
-		"legal heads, body without an end":   {conns: 400, send: sendAll(head(0, "/a/x", shortLines(15_000)+"Content-Length: 1000\r\n"), "x")},
-		"chunks of one byte":                 {conns: 60, send: sendAll(append([]string{head(0, "/a/x", "Transfer-Encoding: chunked\r\n")}, repeated(200, byteChunks)...)...)},
-		"one endless header line":            {conns: 200, send: sendAll(append([]string{strings.TrimSuffix(head(0, "/a/x", ""), "\r\n") + "X: "}, repeated(1000, strings.Repeat("x", 1000))...)...)},
+		"heads of 1 MB of short lines":       {conns: 60, send: sendAll(head("/a/x", shortLines(megabyte-8192)))},
+		"bodies in chunks, not ended":        {conns: 60, send: sendAll(append([]string{head("/a/x", "Transfer-Encoding: chunked\r\n")}, repeated(bodyBytes/chunk-1, chunkOf4096)...)...)},
+		"bodies without their last byte":     {conns: 60, send: sendAll(head("/a/x", length), wholeBody[1:])},
+		"whole bodies again and again":       {conns: 60, send: sendAll(repeated(8, head("/a/x", length)+wholeBody)...)},
+		"endless heads of short lines":       {conns: 60, send: sendAll(append([]string{strings.TrimSuffix(head("/a/x", ""), "\r\n")}, repeated(1000, shortLines(4096))...)...)},
+		"legal heads, body without an end":   {conns: 400, send: sendAll(head("/a/x", shortLines(15_000)+"Content-Length: 1000\r\n"), "x")},
+		"chunks of one byte":                 {conns: 60, send: sendAll(append([]string{head("/a/x", "Transfer-Encoding: chunked\r\n")}, repeated(200, byteChunks)...)...)},
+		"one endless header line":            {conns: 200, send: sendAll(append([]string{strings.TrimSuffix(head("/a/x", ""), "\r\n") + "X: "}, repeated(1000, strings.Repeat("x", 1000))...)...)},
 		"endless empty lines":                {conns: 60, send: sendAll(repeated(2000, strings.Repeat("\r\n", 1000))...)},
-		"endless trailers of short lines":    {conns: 60, send: sendAll(append([]string{head(0, "/a/x", "Transfer-Encoding: chunked\r\nTrailer: a\r\n"), "1\r\nx\r\n0\r\n"}, repeated(1000, shortLines(4096))...)...)},
-		"whole bodies held at an upstream":   {conns: 60, send: sendAll(head(0, "/a/held", length), wholeBody)},
-		"heads of 1 MB to readiness checks":  {conns: 60, port: 1, send: sendAll(head(0, "/a/x", shortLines(megabyte-8192)))},
-		"heads without an end to the checks": {conns: 60, port: 1, send: sendAll(append([]string{strings.TrimSuffix(head(0, "/a/x", ""), "\r\n")}, repeated(1000, shortLines(4096))...)...)},
+		"endless trailers of short lines":    {conns: 60, send: sendAll(append([]string{head("/a/x", "Transfer-Encoding: chunked\r\nTrailer: a\r\n"), "1\r\nx\r\n0\r\n"}, repeated(1000, shortLines(4096))...)...)},
+		"whole bodies held at an upstream":   {conns: 60, send: sendAll(head("/a/held", length), wholeBody)},
+		"heads of 1 MB to readiness checks":  {conns: 60, port: 1, send: sendAll(head("/a/x", shortLines(megabyte-8192)))},
+		"heads without an end to the checks": {conns: 60, port: 1, send: sendAll(append([]string{strings.TrimSuffix(head("/a/x", ""), "\r\n")}, repeated(1000, shortLines(4096))...)...)},
 	}
 }
 
--- a/decide/allotter/precedence.go
+++ b/decide/allotter/precedence.go
@@ -5,8 +5,9 @@
 const (
 	// surgeDemand is the demand at all entries, as a fraction of the rate, above which an organisation asks
 	// for clearly more than its quota. Below, the order of arrival decides, so that nothing is refused for
-	// calls that do not come.
-	surgeDemand = 1.2
+	// calls that do not come. The demand counts calls that return after a refusal, so that it exceeds the rate
+	// clearly before less urgent calls have to give way.
+	surgeDemand = 1.6
 	// lessUrgentFloor is the fraction of the capacity of an entry's share below which less urgent calls are
 	// refused during a surge. The share of one of many entries holds about one large call, so that less
 	// urgent calls may only take what a full share cannot hold.
--- a/decide/reserver/reserver.go
+++ b/decide/reserver/reserver.go
@@ -57,6 +57,7 @@
 // Phase is what a connection holds its share for.
 type Phase int
 
+// The phases.
 const (
 	Idle    Phase = iota // no part of a request was read
 	Reading              // a request is being read
@@ -66,6 +67,7 @@
 // Reason is why a connection is closed or refused.
 type Reason string
 
+// The reasons.
 const (
 	Stalled     Reason = "stalled"     // it holds memory without progress
 	Largest     Reason = "largest"     // it holds the most memory when a smaller, ordinary request needs some
@@ -105,7 +107,7 @@
 
 // Open adds a connection that holds a number of bytes. If there are too many, the one that waits longest
 // without a request is closed, or one that has stalled.
-func (r *Reserver) Open(now sequoiasill.Millis, id ID, bytes int64) (close []Closing, ok bool) {
+func (r *Reserver) Open(now sequoiasill.Millis, id ID, bytes int64) (closings []Closing, ok bool) {
 	if r.connections >= r.opts.MaxConnections {
 		victim, found := r.longestIdle()
 		if !found {
@@ -114,7 +116,7 @@
 		if !found {
 			return nil, false
 		}
-		close = append(close, r.evict(now, victim, Connections))
+		closings = append(closings, r.evict(now, victim, Connections))
 	}
 	r.holders[id] = &holder{progressAt: now, connection: true}
 	r.connections++
@@ -122,22 +124,22 @@
 	if !ok {
 		r.remove(id)
 	}
-	return append(close, more...), ok
+	return append(closings, more...), ok
 }
 
 // Hold adds a copy of a call that no connection of a caller holds. It is never closed.
-func (r *Reserver) Hold(now sequoiasill.Millis, id ID, bytes int64) (close []Closing, ok bool) {
+func (r *Reserver) Hold(now sequoiasill.Millis, id ID, bytes int64) (closings []Closing, ok bool) {
 	r.holders[id] = &holder{phase: Running, progressAt: now}
-	close, ok = r.Reserve(now, id, bytes)
+	closings, ok = r.Reserve(now, id, bytes)
 	if !ok {
 		r.remove(id)
 	}
-	return close, ok
+	return closings, ok
 }
 
 // Reserve adds bytes to a share and returns the connections to be closed for it. If it returns false,
 // nothing was added, and the request must be refused or the connection was closed.
-func (r *Reserver) Reserve(now sequoiasill.Millis, id ID, bytes int64) (close []Closing, ok bool) {
+func (r *Reserver) Reserve(now sequoiasill.Millis, id ID, bytes int64) (closings []Closing, ok bool) {
 	h, ok := r.holders[id]
 	if !ok {
 		return nil, false
@@ -149,7 +151,7 @@
 	}
 	for r.held+bytes > limit {
 		if r.closingSum > r.opts.Bytes/closingDivisor {
-			return close, false
+			return closings, false
 		}
 		victim, found := r.largestStalled(now, id)
 		reason := Stalled
@@ -162,13 +164,13 @@
 			if r.onlyLarge(id) {
 				break
 			}
-			return close, false
+			return closings, false
 		}
-		close = append(close, r.evict(now, victim, reason))
+		closings = append(closings, r.evict(now, victim, reason))
 	}
 	h.share += bytes
 	r.held += bytes
-	return close, true
+	return closings, true
 }
 
 // Release subtracts bytes from a share.
--- a/decide/reserver/reserver_test.go
+++ b/decide/reserver/reserver_test.go
@@ -146,19 +146,20 @@
 		for now := range sequoiasill.Millis(3000) {
 			id := ID(random.IntN(ids)) + 1
 			_, ending := r.closing[id] // IDs are not used again before their end
-			switch _, known := r.holders[id]; {
-			case ending && random.IntN(2) == 0:
+			_, known := r.holders[id]
+			switch action := random.IntN(6); {
+			case ending && action < 3:
 				r.Close(id)
 			case ending:
-			case !known && random.IntN(2) == 0:
+			case !known && action < 3:
 				r.Open(now*10, id, 10)
-			case !known && random.IntN(2) == 0:
+			case !known && action == 3:
 				r.Hold(now*10, id, 50)
-			case random.IntN(6) == 0:
+			case action == 0:
 				r.Close(id)
-			case random.IntN(4) == 0:
+			case action == 1:
 				r.SetPhase(now*10, id, Phase(random.IntN(3)))
-			case random.IntN(4) == 0:
+			case action == 2:
 				r.Release(id, random.Int64N(400))
 			default:
 				r.Reserve(now*10, id, random.Int64N(300))
--- a/relay/acceptor/conn.go
+++ b/relay/acceptor/conn.go
@@ -165,7 +165,7 @@
 // closeFor closes the connection, also while it is read.
 func (c *callerConn) closeFor(cause string) {
 	c.setCause(cause)
-	_ = c.Conn.Close()
+	_ = c.Close()
 }
 
 // startWait limits the next read if the server waits for a request or for the rest of a header, and
