Zone tracker: facts older than the last list do not start an evacuation

An entry that was cut off while an evacuation ended could put it in force again at entries that had started since. A removed record that is missing in a copy of the store no longer hides a new one with the same revision.

--- a/decide/zonetracker/zonetracker.go
+++ b/decide/zonetracker/zonetracker.go
@@ -45,7 +45,8 @@
 
 // Tracker tracks evacuations. It is not safe for concurrent use.
 type Tracker struct {
-	zones map[string]*zone
+	zones    map[string]*zone
+	listedAt uint64 // store version of the last list of all records
 }
 
 // New returns a Tracker that knows of no evacuation.
@@ -65,6 +66,9 @@
 	case !known && len(t.zones) >= MaxZones:
 		return f, false, errors.Errorf("more than %d zones are evacuated or were", MaxZones)
 	}
+	if f.Evacuated && t.isOutdated(z, f) {
+		f = Fact{Zone: f.Zone, Version: t.listedAt, Record: f.Version}
+	}
 	if known && !f.Evacuated && f.Record == 0 {
 		f.Record = z.fact.Record
 	}
@@ -75,6 +79,12 @@
 	return f, true, nil
 }
 
+// isOutdated reports whether a record that is not in force was removed before the last list, which lacked
+// it. It comes from an entry that was cut off at that time.
+func (t *Tracker) isOutdated(z *zone, f Fact) bool {
+	return (z == nil || !z.fact.Evacuated) && f.Version <= t.listedAt && sequoiasill.StoreEra(f.Version) == sequoiasill.StoreEra(t.listedAt)
+}
+
 // isRestored reports whether a record is the one that was removed, and merely came back with a copy of
 // the store. One that is recorded again has another revision.
 func (z *zone) isRestored(f Fact) bool {
@@ -112,7 +122,13 @@
 			z.fact.Evacuated, z.fact.Version = false, revision
 			changed = append(changed, z.fact)
 		}
+		if !z.fact.Evacuated && sequoiasill.StoreEra(z.fact.Version) < sequoiasill.StoreEra(revision) {
+			// The copy lacks the removed record, so that one with its revision is new.
+			z.fact.Version = revision
+			changed = append(changed, z.fact)
+		}
 	}
+	t.listedAt = max(t.listedAt, revision)
 	slices.SortFunc(changed, func(a, b Fact) int { return strings.Compare(a.Zone, b.Zone) })
 	return changed, rejected
 }
