Entries send nothing to upstreams before they know the evacuated zones

An entry that had just started knew upstreams from gossip or from its list before it knew the evacuations, and served relayed calls, probes and early callers at upstreams of evacuated zones. Only its readiness waited.

--- a/decide/registrar/evacuated.go
+++ b/decide/registrar/evacuated.go
@@ -2,16 +2,25 @@
 
 import "sequoiasill.dev/sequoiasill"
 
+// AwaitEvacuations sets whether calls and probes are kept from all upstreams as it is not known which
+// zones are evacuated. It is for entries that start in a deployment with evacuations.
+func (r *Registrar) AwaitEvacuations(awaits bool) { r.awaitsEvacuations = awaits }
+
 // SetEvacuated sets the zones to whose upstreams nothing more is sent.
 func (r *Registrar) SetEvacuated(zones map[string]bool) { r.evacuated = zones }
 
+// isEvacuated reports whether nothing may be sent to an upstream because of its zone.
+func (r *Registrar) isEvacuated(s *state) bool {
+	return r.awaitsEvacuations || r.evacuated[s.replica.Zone]
+}
+
 // Evacuated returns the zones to whose upstreams nothing more is sent. The map must not be changed.
 func (r *Registrar) Evacuated() map[string]bool { return r.evacuated }
 
 // MayProbe reports whether a probe may be sent to an upstream now, and counts it.
 func (r *Registrar) MayProbe(now sequoiasill.Millis, name string) bool {
 	s, ok := r.replicas[name]
-	return ok && s.probeable(now) && !r.evacuated[s.replica.Zone] && r.takeColdShare(now, s)
+	return ok && s.probeable(now) && !r.isEvacuated(s) && r.takeColdShare(now, s)
 }
 
 func (s *state) probeable(now sequoiasill.Millis) bool {
@@ -32,7 +41,7 @@
 	for _, s := range r.replicas {
 		switch {
 		case s.replica.Service != service || s.removed || s.replica.Draining:
-		case r.evacuated[s.replica.Zone]:
+		case r.isEvacuated(s):
 			out.Evacuated++
 		case !r.hasColdRoom(now, s):
 			out.Cold++
--- a/decide/registrar/evacuated_test.go
+++ b/decide/registrar/evacuated_test.go
@@ -96,3 +96,26 @@
 		})
 	}
 }
+
+// Guards against requests of an entry that has just started and does not know yet which zones are
+// evacuated.
+func TestNothingIsSentBeforeEvacuationsAreKnown(t *testing.T) {
+	type state struct {
+		Candidates, Probes int
+		MaySend, MayProbe  bool
+	}
+	r := registrar.New(registrar.DefaultOptions(), 1)
+	r.AwaitEvacuations(true)
+	r.Announce(0, replica("a", 1))
+	look := func() state {
+		return state{len(r.Candidates(0, "model")), len(r.Probeable(0, "model")), r.MaySend(0, replica("a", 1), false), r.MayProbe(0, "a")}
+	}
+	got := []state{look()}
+	r.SetEvacuated(map[string]bool{"b": true}) // one of several facts
+	got = append(got, look())
+	r.AwaitEvacuations(false)
+	got = append(got, look())
+	if diff := cmp.Diff([]state{{}, {}, {1, 1, true, true}}, got); diff != "" {
+		t.Errorf("before one is known, before all are, and afterwards (-want +got):\n%s", diff)
+	}
+}
--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -97,7 +97,9 @@
 	cold         ColdStats               // without the number of cold upstreams
 	coldStarts   []RecordedColdStart     // that ColdStarts has not returned yet
 	evacuated    map[string]bool         // zones to which nothing is sent
-	paces        paces
+	// awaitsEvacuations is set while the evacuated zones are not known, so that nothing is sent.
+	awaitsEvacuations bool
+	paces             paces
 }
 
 // drainNotice records that an incarnation of an upstream announced its shutdown. It
@@ -252,7 +254,7 @@
 // An upstream with a rate limit requires a permit.
 func (r *Registrar) MaySend(now sequoiasill.Millis, n sequoiasill.Replica, permitted bool) bool {
 	s, ok := r.replicas[n.Name]
-	return ok && s.replica.StartedAt == n.StartedAt && !s.removed && !s.replica.Draining && s.pausedUntil <= now && (permitted || !s.limit.active) && !r.evacuated[s.replica.Zone] && r.takeColdShare(now, s)
+	return ok && s.replica.StartedAt == n.StartedAt && !s.removed && !s.replica.Draining && s.pausedUntil <= now && (permitted || !s.limit.active) && !r.isEvacuated(s) && r.takeColdShare(now, s)
 }
 
 // NextAvailable returns the time until the first upstream of a service accepts calls again.
@@ -260,7 +262,7 @@
 func (r *Registrar) NextAvailable(now sequoiasill.Millis, service string) (sequoiasill.Millis, bool) {
 	first, found := sequoiasill.Millis(0), false
 	for _, s := range r.replicas {
-		if s.replica.Service != service || s.removed || s.replica.Draining || r.evacuated[s.replica.Zone] {
+		if s.replica.Service != service || s.removed || s.replica.Draining || r.isEvacuated(s) {
 			continue
 		}
 		wait := max(s.pausedUntil, s.backoffUntil, s.limit.deniedUntil, s.rejectedUntil, now+r.coldWait(now, s)) - now
@@ -443,7 +445,7 @@
 	var out []Candidate
 	brittle := r.IsBrittle(now, service)
 	for _, s := range r.replicas {
-		if s.replica.Service == service && s.usable(now) && !r.evacuated[s.replica.Zone] && r.hasColdRoom(now, s) && (!brittle || s.hasRoom(now, r.entries)) {
+		if s.replica.Service == service && s.usable(now) && !r.isEvacuated(s) && r.hasColdRoom(now, s) && (!brittle || s.hasRoom(now, r.entries)) {
 			out = append(out, s.candidate(now, r.opts))
 		}
 	}
@@ -493,7 +495,7 @@
 func (r *Registrar) Probeable(now sequoiasill.Millis, service string) []sequoiasill.Replica {
 	var out []sequoiasill.Replica
 	for _, s := range r.replicas {
-		if s.replica.Service == service && s.probeable(now) && !r.evacuated[s.replica.Zone] && r.hasColdRoom(now, s) {
+		if s.replica.Service == service && s.probeable(now) && !r.isEvacuated(s) && r.hasColdRoom(now, s) {
 			out = append(out, s.replica)
 		}
 	}
