Registrar: the end of a sent call no longer releases the reservation of another one

While an earlier call to a cold upstream ended, a second call could choose the upstream that was reserved for a first, and was withheld at the send.

--- a/decide/registrar/cold_test.go
+++ b/decide/registrar/cold_test.go
@@ -269,3 +269,33 @@
 		t.Errorf("%d cold times reported, 1 is wanted", got)
 	}
 }
+
+// Guards against the end of a call releasing the reservation of another one, so that more calls choose a
+// cold upstream than its share has room for, and against a reservation that outlives its call.
+func TestReservationOfAColdUpstream(t *testing.T) {
+	tests := map[string]struct {
+		ended registrar.Outcome
+		want  int
+	}{
+		"an earlier call succeeds": {registrar.Succeeded, 0},
+		"an earlier call fails":    {registrar.Failed, 0},
+		"withheld":                 {registrar.Abandoned, 1},
+		"not reached":              {registrar.Unreachable, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(registrar.DefaultOptions(), 1)
+			r.SetColdRates(map[string]float64{"model": 16})
+			r.SetColdEntries(8)
+			r.Announce(0, replica("a", 1))
+			r.CallSent("a", 0)
+			r.MaySend(0, replica("a", 1), false)
+			r.ColdAnnounced(100, replica("a", 1), 9000)
+			r.CallSent("a", 0)
+			r.CallEnded(5000, "a", 0, tc.ended)
+			if got := len(r.Candidates(8000, "model")); got != tc.want {
+				t.Errorf("%d candidates, %d are wanted", got, tc.want)
+			}
+		})
+	}
+}
--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -388,7 +388,10 @@
 	if !ok {
 		return
 	}
-	s.cold.reserved = false
+	if o == Abandoned || o == Unreachable {
+		// Other outcomes are of calls that were sent, which released their reservation then.
+		s.cold.reserved = false
+	}
 	s.inFlight = max(s.inFlight-1, 0)
 	s.callsBeforePause = max(s.callsBeforePause-1, 0)
 	s.prefill = max(s.prefill-prefill, 0)
