--- a/decide/registrar/evacuated.go
+++ b/decide/registrar/evacuated.go
@@ -31,7 +31,7 @@
 // state.
 type Unavailable struct {
 	Cold      int // this entry's share of their rate is used up
-	Evacuated int // in evacuated zones
+	Evacuated int // in evacuated zones, or in any while the evacuations are awaited
 }
 
 // Unavailable returns the upstreams of a service that get no calls because they are cold or in an
