--- a/decide/registrar/evacuated.go
+++ b/decide/registrar/evacuated.go
@@ -38,12 +38,21 @@
 
 // maySendTo reports whether an upstream may get requests by its zone.
 func (r *Registrar) maySendTo(now sequoiasill.Millis, s *state) bool {
-	return !r.evacuated[s.replica.Zone] && r.holdWait(now) == 0
+	return !r.isEvacuated(s) && r.holdWait(now) == 0
 }
 
+// AwaitEvacuations sets whether calls and probes are kept from all upstreams as it is not known which
+// zones are evacuated. It is for entries that start in a deployment with evacuations.
+func (r *Registrar) AwaitEvacuations(awaits bool) { r.awaitsEvacuations = awaits }
+
 // SetEvacuated sets the zones to whose upstreams nothing more is sent.
 func (r *Registrar) SetEvacuated(zones map[string]bool) { r.evacuated = zones }
 
+// isEvacuated reports whether nothing may be sent to an upstream because of its zone.
+func (r *Registrar) isEvacuated(s *state) bool {
+	return r.awaitsEvacuations || r.evacuated[s.replica.Zone]
+}
+
 // Evacuated returns the zones to whose upstreams nothing more is sent. The map must not be changed.
 func (r *Registrar) Evacuated() map[string]bool { return r.evacuated }
 
@@ -61,7 +70,7 @@
 // state.
 type Unavailable struct {
 	Cold      int // this entry's share of their rate is used up
-	Evacuated int // in evacuated zones
+	Evacuated int // in evacuated zones, or in any while the evacuations are awaited
 }
 
 // Unavailable returns the upstreams of a service that get no calls because they are cold or in an
@@ -71,7 +80,7 @@
 	for _, s := range r.replicas {
 		switch {
 		case s.replica.Service != service || s.removed || s.replica.Draining:
-		case r.evacuated[s.replica.Zone]:
+		case r.isEvacuated(s):
 			out.Evacuated++
 		case !r.hasColdRoom(now, s):
 			out.Cold++
--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -100,6 +100,8 @@
 	evacuated    map[string]bool    // zones to which nothing is sent, nil if evacuations are not followed
 	tickedAt     sequoiasill.Millis // time of the last Tick
 	holdUntil    sequoiasill.Millis // end of the time without sends after a pause of this process
+	// awaitsEvacuations is set while the evacuated zones are not known, so that nothing is sent.
+	awaitsEvacuations bool
 }
 
 // drainNotice records that an incarnation of an upstream announced its shutdown. It
@@ -262,7 +264,7 @@
 func (r *Registrar) NextAvailable(now sequoiasill.Millis, service string) (sequoiasill.Millis, bool) {
 	first, found := sequoiasill.Millis(0), false
 	for _, s := range r.replicas {
-		if s.replica.Service != service || s.removed || s.replica.Draining || r.evacuated[s.replica.Zone] {
+		if s.replica.Service != service || s.removed || s.replica.Draining || r.isEvacuated(s) {
 			continue
 		}
 		wait := max(s.pausedUntil, s.backoffUntil, s.limit.deniedUntil, s.rejectedUntil, now+r.coldWait(now, s), now+r.holdWait(now)) - now
@@ -389,7 +391,10 @@
 	if !ok {
 		return
 	}
-	s.cold.reserved = false
+	if o == Abandoned || o == Unreachable {
+		// Other outcomes are of calls that were sent, which released their reservation then.
+		s.cold.reserved = false
+	}
 	s.inFlight = max(s.inFlight-1, 0)
 	s.callsBeforePause = max(s.callsBeforePause-1, 0)
 	s.prefill = max(s.prefill-prefill, 0)
