--- a/decide/registrar/pace.go
+++ b/decide/registrar/pace.go
@@ -32,6 +32,10 @@
 	// with probes.
 	paceTellInterval = 5 * sequoiasill.Second
 	paceTellGap      = sequoiasill.Second
+	// maxToldUpstreams is the number of upstreams, recently removed ones included, beyond which entries tell
+	// each other no paces. Entries that know different facts exchange all of them, so that thousands of
+	// changing ones would fill their links; with so many upstreams an entry's own reports have to do.
+	maxToldUpstreams = 512
 	// PaceTTL is how long an announcement is gossiped. It is renewed after half of that time, for entries
 	// that have started since.
 	PaceTTL = 10 * sequoiasill.Minute
@@ -97,7 +101,7 @@
 	factor = boundPace(factor)
 	p.last, p.lastAt = factor, now
 	p.learnLoad(s)
-	if !p.learn(now, factor) || !p.isNews(now) || r.paces.toldAt > 0 && now-r.paces.toldAt < paceTellGap {
+	if !p.learn(now, factor) || len(r.replicas) > maxToldUpstreams || !p.isNews(now) || r.paces.toldAt > 0 && now-r.paces.toldAt < paceTellGap {
 		return p.usual, false
 	}
 	p.told, p.toldAt, r.paces.toldAt = p.usual, now, now
--- a/decide/registrar/pace_test.go
+++ b/decide/registrar/pace_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 
@@ -141,3 +142,24 @@
 		t.Errorf("told (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against announcements that fill the links of a large deployment: each changes the facts that entries
+// compare and exchange.
+func TestPacesAreNotToldInLargeDeployments(t *testing.T) {
+	tests := map[string]struct {
+		upstreams int
+		want      bool
+	}{"512 upstreams": {512, true}, "513 upstreams": {513, false}}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := registrar.New(registrar.DefaultOptions(), 1)
+			for i := range tc.upstreams {
+				r.Announce(0, replica(fmt.Sprint("u", i), 1))
+			}
+			usual, tell := r.RecordPace(1000, replica("u0", 1), 1.7)
+			if diff := cmp.Diff([]any{1.7, tc.want}, []any{usual, tell}); diff != "" {
+				t.Errorf("usual pace, and whether it is told (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
