--- a/cmd/sequoia-edge/callerinput_test.go
+++ b/cmd/sequoia-edge/callerinput_test.go
@@ -97,28 +97,8 @@
 	}
 	dir := t.TempDir()
 	settings := filepath.Join(dir, "settings")
-	if err := os.WriteFile(settings, fmt.Appendf(nil, `
-nodeName = "e1"
-zone = "a"
-ip = %q
-internalPortRange = [%d,%d]
-[listen]
-frontend = %q
-ready = %q
-[limits]
-memoryMb = %d
-maxFds = %d
-[bounds]
-graceS = 3
-retryWindowS = 10
-quotaWindowS = 8
-usageWindowS = 5
-[platform]
-address = %q
-[cloudApi]
-address = %q
-`, ip, loopback.FirstPort+2, loopback.FirstPort+3, loopback.Port(ip, 0), loopback.Port(ip, 1), instanceMB, maxFds,
-		platform.Addr(), platform.Addr()), 0o600); err != nil {
+	limits := fmt.Sprintf("memoryMb = %d\nmaxFds = %d", instanceMB, maxFds)
+	if err := os.WriteFile(settings, []byte(settingsFor(ip, platform.Addr().String(), limits)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	out, err := os.Create(filepath.Join(dir, "log"))
--- a/cmd/sequoia-edge/main_test.go
+++ b/cmd/sequoia-edge/main_test.go
@@ -22,6 +22,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return settingsFor(ip, "127.9.9.9:1", "")
+}
+
+// settingsFor returns settings for an address and a platform, with the lines of the limits.
+func settingsFor(ip, platform, limits string) string {
 	return fmt.Sprintf(`
 nodeName = "e1"
 zone = "a"
@@ -30,16 +35,18 @@
 [listen]
 frontend = %q
 ready = %q
+[limits]
+%s
 [bounds]
 graceS = 3
 retryWindowS = 10
 quotaWindowS = 8
 usageWindowS = 5
 [platform]
-address = "127.9.9.9:1"
+address = %q
 [cloudApi]
-address = "127.9.9.9:1"
-`, ip, loopback.FirstPort+2, loopback.FirstPort+3, loopback.Port(ip, 0), loopback.Port(ip, 1))
+address = %q
+`, ip, loopback.FirstPort+2, loopback.FirstPort+3, loopback.Port(ip, 0), loopback.Port(ip, 1), limits, platform, platform)
 }
 
 // grace is the grace period in the settings.
--- a/decide/allotter/allotter.go
+++ b/decide/allotter/allotter.go
@@ -325,7 +325,7 @@
 	remaining := math.Exp(-elapsed * float64(sequoiasill.Second) / float64(demandTimeConstant))
 	s.demand *= remaining
 	s.urgentDemand *= remaining
-	capacity := acc.Burst * a.fraction(acc.Name)
+	capacity := a.capacity(acc)
 	if !s.initialised {
 		s.initialised = true
 		if a.startFull {
--- a/decide/registrar/cold.go
+++ b/decide/registrar/cold.go
@@ -9,9 +9,6 @@
 	// probability of 1.3e-11, and of 1.5e-7 if half of the entries know of only half of them. The
 	// rest of the rate absorbs requests that were sent before the entries knew.
 	coldShare = 0.5
-	// maxColdEntries is the number of entries that is assumed until it is known: the largest for which
-	// the system is designed.
-	maxColdEntries = 380
 	// maxColdTime bounds the time for which an announcement makes an upstream cold, so that an absurd
 	// number does not keep calls from it for good.
 	maxColdTime = sequoiasill.Minute
--- a/decide/reserver/reserver.go
+++ b/decide/reserver/reserver.go
@@ -43,6 +43,10 @@
 	progressDivisor = 16
 )
 
+// RetryAfter is the time after which callers repeat a request for which there was no memory. Bodies of other
+// callers are read and sent within it.
+const RetryAfter = 500 * sequoiasill.Millis(1)
+
 // DefaultOptions returns the options for a budget in bytes.
 func DefaultOptions(bytes int64, maxConnections int) Options {
 	return Options{
--- a/decide/reserver/reserver_test.go
+++ b/decide/reserver/reserver_test.go
@@ -60,13 +60,7 @@
 			r.holders[self] = &holder{phase: Reading, share: tc.share, progressAt: now, connection: true}
 			r.held += tc.share
 			closed, ok := r.Reserve(now, self, tc.bytes)
-			var got []ID
-			for _, c := range closed {
-				got = append(got, c.ID)
-			}
-			if diff := cmp.Diff(tc.want, got); diff != "" {
-				t.Errorf("closed (-want +got):\n%s", diff)
-			}
+			checkClosed(t, closed, tc.want)
 			if diff := cmp.Diff(tc.ok, ok); diff != "" {
 				t.Errorf("reserved (-want +got):\n%s", diff)
 			}
@@ -74,6 +68,17 @@
 	}
 }
 
+func checkClosed(t *testing.T, closed []Closing, want []ID) {
+	t.Helper()
+	var got []ID
+	for _, c := range closed {
+		got = append(got, c.ID)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("closed (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against new callers that are kept out by connections without a request, and against closing calls
 // for new connections.
 func TestOpenBeyondMaxConnections(t *testing.T) {
@@ -97,13 +102,7 @@
 				r.SetPhase(tc.since[id], id, p)
 			}
 			closed, ok := r.Open(now, 9, 10)
-			var got []ID
-			for _, c := range closed {
-				got = append(got, c.ID)
-			}
-			if diff := cmp.Diff(tc.want, got); diff != "" {
-				t.Errorf("closed (-want +got):\n%s", diff)
-			}
+			checkClosed(t, closed, tc.want)
 			if diff := cmp.Diff(tc.ok, ok); diff != "" {
 				t.Errorf("opened (-want +got):\n%s", diff)
 			}
--- a/numbers.go
+++ b/numbers.go
@@ -9,6 +9,8 @@
 	// MaxNumber is the largest whole number that is taken from others. It is the largest up to which
 	// JSON numbers are exact (RFC 8259, 6), and leaves room for sums of hundreds of them.
 	MaxNumber = 1<<53 - 1
+	// MaxEntries is the largest number of entries for which the system is designed.
+	MaxEntries = 380
 	// MaxTimestamp is the last timestamp that RFC 3339 can write, the end of the year 9999.
 	MaxTimestamp Millis = 253402300799999
 	// MaxDuration is the longest duration that is taken from others, a hundred years. It fits into
--- a/relay/acceptor/acceptor.go
+++ b/relay/acceptor/acceptor.go
@@ -27,10 +27,6 @@
 	maxIdle          = 5 * sequoiasill.Minute
 	// defaultHeaderTimeout applies without a configured one.
 	defaultHeaderTimeout = 3 * sequoiasill.Second
-	// defaultHeaderBytes and defaultBodyBytes are the maximum sizes of a header and a body without configured
-	// ones. The handler has the same.
-	defaultHeaderBytes = 16 << 10
-	defaultBodyBytes   = 4 << 20
 	// transitAllowance is added to the configured time for a header, which starts at the caller: lost
 	// segments are sent again within it.
 	transitAllowance = sequoiasill.Second
@@ -118,17 +114,11 @@
 
 // currentLimits returns the limits that apply to connections now.
 func (a *Acceptor) currentLimits() sequoiasill.CallerLimits {
-	l := a.limits()
+	l := a.limits().WithDefaultSizes()
 	l.IdleTimeout = min(l.IdleTimeout, maxIdle)
 	if l.HeaderTimeout <= 0 {
 		l.HeaderTimeout = defaultHeaderTimeout
 	}
-	if l.HeaderBytes <= 0 {
-		l.HeaderBytes = defaultHeaderBytes
-	}
-	if l.BodyBytes <= 0 {
-		l.BodyBytes = defaultBodyBytes
-	}
 	l.HeaderTimeout = min(l.HeaderTimeout, maxHeaderTimeout) + transitAllowance
 	return l
 }
--- a/relay/acceptor/budget_test.go
+++ b/relay/acceptor/budget_test.go
@@ -111,7 +111,7 @@
 		"one line of the limit":       {start + "X: " + strings.Repeat("x", size-len(start)-7) + "\r\n\r\n", http.StatusOK},
 		"short lines up to the limit": {start + strings.Repeat("a:\r\n", (size-len(start)-2)/4) + "\r\n", http.StatusOK},
 		"short lines without an end":  {start + strings.Repeat("a:\r\n", size/2), http.StatusRequestHeaderFieldsTooLarge},
-		"shorter lines":               {start + strings.Repeat("a:\n", (size+headFraming)/3), http.StatusRequestHeaderFieldsTooLarge},
+		"shorter lines":               {start + strings.Repeat("a:\n", (size+sequoiasill.HeaderFraming)/3), http.StatusRequestHeaderFieldsTooLarge},
 		"a line without an end":       {start + "X: " + strings.Repeat("x", 2*size), http.StatusRequestHeaderFieldsTooLarge},
 		"a request line without end":  {"GET /" + strings.Repeat("x", 2*size), http.StatusRequestHeaderFieldsTooLarge},
 		"empty lines":                 {strings.Repeat("\r\n", 4*size), http.StatusRequestHeaderFieldsTooLarge},
--- a/relay/acceptor/conn.go
+++ b/relay/acceptor/conn.go
@@ -120,12 +120,17 @@
 	if !c.setCause(cause) {
 		return // it was closed meanwhile
 	}
+	if c.writeRejection(response) == nil {
+		c.linger()
+	}
+}
+
+// writeRejection writes a response past the server, which does not get the request.
+func (c *callerConn) writeRejection(response string) error {
 	_ = c.SetWriteDeadline(time.Now().Add(rejectTimeout.Duration()))
 	_, err := io.WriteString(c.Conn, response)
 	c.recordWrite(nil, err)
-	if err == nil {
-		c.linger()
-	}
+	return err
 }
 
 // linger reads what a caller still sends whose request was rejected, unless many do so.
@@ -239,9 +244,7 @@
 	if !c.isRejected() {
 		return
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(rejectTimeout.Duration()))
-	_, err := io.WriteString(c.Conn, headerTimeoutResponse)
-	c.recordWrite(nil, err)
+	_ = c.writeRejection(headerTimeoutResponse)
 }
 
 // wake lets a read that waits for a request look again how long it may.
--- a/relay/acceptor/ends.go
+++ b/relay/acceptor/ends.go
@@ -48,7 +48,9 @@
 		}
 		r := c.begin(a.requestID(req))
 		defer c.end(r)
-		if !c.input.reserveHead(headerCost(headerSize(req))) {
+		// Part of the header may have been read with the request before, when nothing counted its lines.
+		size, lines := HeaderSize(req)
+		if !c.input.reserveHead(headerCost(size+lines*shortestLine, lines)) {
 			refuseUnserved(w)
 			return
 		}
@@ -60,14 +62,14 @@
 	})
 }
 
-// headerSize returns the bytes and the lines of a parsed header. Part of the header may have been read with
-// the request before, when nothing counted its lines.
-func headerSize(req *http.Request) (bytes, lines int) {
+// HeaderSize returns the size of the request line and the header in bytes, without their framing, and the
+// number of lines of the header.
+func HeaderSize(req *http.Request) (bytes, lines int) {
 	bytes = len(req.Method) + len(req.RequestURI) + len(req.Host)
 	for name, values := range req.Header {
 		lines += len(values)
 		for _, v := range values {
-			bytes += len(name) + len(v) + shortestLine
+			bytes += len(name) + len(v)
 		}
 	}
 	return bytes, lines
--- a/relay/acceptor/head.go
+++ b/relay/acceptor/head.go
@@ -1,9 +1,8 @@
 package acceptor
 
+import "sequoiasill.dev/sequoiasill"
+
 const (
-	// headFraming allows for the request line and the framing of a header beyond the configured size of it,
-	// in bytes. The handler has the same allowance.
-	headFraming = 4 << 10
 	// shortestLine is the size of the shortest header line in bytes, "a:" with its end. A head within its
 	// limit of bytes has no more lines than its size holds of these.
 	shortestLine = 4
@@ -50,7 +49,7 @@
 
 // exceeds reports whether the head is beyond its limits, for a configured size of the header in bytes.
 func (s *headScanner) exceeds(headerBytes int) bool {
-	size := headerBytes + headFraming
+	size := headerBytes + sequoiasill.HeaderFraming
 	return s.bytes > size || s.lines > size/shortestLine || s.leading > maxLeadingLines
 }
 
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -283,10 +283,10 @@
 	closeOnce        sync.Once
 }
 
-// maxInlineBody is the largest request body in bytes that is written before the response is
+// MaxInlineBody is the largest request body in bytes that is written before the response is
 // read. A larger one is written concurrently, as the upstream may respond before it has read
 // everything.
-const maxInlineBody = 16 << 10
+const MaxInlineBody = 16 << 10
 
 // Do sends a request and reads the header of its response. It never sends a request twice. If
 // ctx is cancelled before the exchange is closed, the connection is closed.
@@ -303,7 +303,7 @@
 	k.requests++
 	x.stopContextWatch = context.AfterFunc(ctx, func() { c.closeUnfinished(k.net) })
 	head := encodeHead(r)
-	if len(r.Body) <= maxInlineBody {
+	if len(r.Body) <= MaxInlineBody {
 		head = append(head, r.Body...)
 		n, err := k.net.Write(head)
 		if err != nil {
@@ -466,7 +466,7 @@
 // fields come from a parsed request, so they contain no line breaks.
 func encodeHead(r Request) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + min(len(r.Body), maxInlineBody))
+	b.Grow(512 + min(len(r.Body), MaxInlineBody))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	// Writes to a bytes.Buffer never fail.
 	_ = r.Header.Write(&b)
--- a/relay/dispatcher/admission.go
+++ b/relay/dispatcher/admission.go
@@ -58,9 +58,7 @@
 	if j.route.Kind == sequoiasill.Streaming && j.call.LastEvent != "" {
 		return nil
 	}
-	a := d.admitter.Decide(now, admitter.Request{
-		Service: j.service, Priority: j.route.Priority, TargetLatency: j.route.TargetLatency, Timeout: j.route.Timeout, Remaining: j.deadline - now,
-	})
+	a := d.admitter.Decide(now, j.admissionRequest(j.deadline-now))
 	if !a.Refused {
 		return nil
 	}
@@ -76,6 +74,13 @@
 		j.service, a.Rank, a.Ranks, a.Waiting, a.Taken, int64(a.Wait), a.Band.Low, a.Band.High, unit, a.Probability, a.Samples, int64(a.Age)).WithRetryAfter(a.RetryAfter)
 }
 
+// admissionRequest describes the call to the admission. remaining is the time until its caller stops waiting.
+func (j *job) admissionRequest(remaining sequoiasill.Millis) admitter.Request {
+	return admitter.Request{
+		Service: j.service, Priority: j.route.Priority, TargetLatency: j.route.TargetLatency, Timeout: j.route.Timeout, Remaining: remaining,
+	}
+}
+
 // recordPressure records the load in a response for the admission. A rejection counts as a full
 // queue unless the upstream rejects for another reason, which the response states.
 func (t *try) recordPressure(a *Response) {
--- a/relay/dispatcher/admission_test.go
+++ b/relay/dispatcher/admission_test.go
@@ -14,17 +14,11 @@
 	"sequoiasill.dev/sequoiasill/relay/dispatcher"
 )
 
-// newSaturatedDispatcher returns a dispatcher whose upstreams, which run engines, responded to six
-// urgent calls with the given step. Its log is returned, too.
-func newSaturatedDispatcher(t *testing.T, s step, next ...step) (*dispatcher.Dispatcher, *fakeTransport, *bytes.Buffer) {
-	t.Helper()
-	var log bytes.Buffer
-	c := &fakeTransport{steps: []step{s}}
-	d := newLoggingDispatcher(t, c, &fakePeers{usageCounts: make(map[string]int)}, hclog.New(&hclog.LoggerOptions{Output: &log}))
-	engines := *traffic
-	engines.Version++
-	engines.Services = []sequoiasill.TrafficService{{Name: "plain", Engine: &sequoiasill.EngineLimits{}}}
-	engines.Routes = nil
+// rankedTraffic returns the traffic rules with the route "read" as the most urgent one.
+func rankedTraffic() *sequoiasill.Traffic {
+	ranked := *traffic
+	ranked.Version++
+	ranked.Routes = nil
 	for _, r := range traffic.Routes {
 		// The calls have as much time as the route. With the 2,000 ms of the other tests they had exactly three
 		// quarters of it, and counted as returned callers if a millisecond passed.
@@ -32,10 +26,22 @@
 		if r.Name != "read" {
 			r.Priority = 2
 		}
-		engines.Routes = append(engines.Routes, r)
+		ranked.Routes = append(ranked.Routes, r)
 	}
+	return &ranked
+}
+
+// newSaturatedDispatcher returns a dispatcher whose upstreams, which run engines, responded to six
+// urgent calls with the given step. Its log is returned, too.
+func newSaturatedDispatcher(t *testing.T, s step, next ...step) (*dispatcher.Dispatcher, *fakeTransport, *bytes.Buffer) {
+	t.Helper()
+	var log bytes.Buffer
+	c := &fakeTransport{steps: []step{s}}
+	d := newLoggingDispatcher(t, c, &fakePeers{usageCounts: make(map[string]int)}, hclog.New(&hclog.LoggerOptions{Output: &log}))
+	engines := rankedTraffic()
+	engines.Services = []sequoiasill.TrafficService{{Name: "plain", Engine: &sequoiasill.EngineLimits{}}}
 	engines.Accounts = []sequoiasill.Account{{Name: "small", Keys: []string{"key"}, RatePerSec: 0.001, Burst: 20}}
-	d.SetTraffic(&engines)
+	d.SetTraffic(engines)
 	for range 6 {
 		d.Serve(context.Background(), call("/read/x", "key"), &reply{})
 	}
@@ -127,20 +133,9 @@
 func TestLogOfSpentQuotaTellsPrecedence(t *testing.T) {
 	var log bytes.Buffer
 	d := newLoggingDispatcher(t, &fakeTransport{}, &fakePeers{usageCounts: make(map[string]int)}, hclog.New(&hclog.LoggerOptions{Output: &log, Level: hclog.Debug}))
-	ranked := *traffic
-	ranked.Version++
-	ranked.Routes = nil
-	for _, r := range traffic.Routes {
-		// The calls have as much time as the route. With the 2,000 ms of the other tests they had exactly three
-		// quarters of it, and counted as returned callers if a millisecond passed.
-		r.Timeout = 1500
-		if r.Name != "read" {
-			r.Priority = 2
-		}
-		ranked.Routes = append(ranked.Routes, r)
-	}
+	ranked := rankedTraffic()
 	ranked.Accounts = []sequoiasill.Account{{Name: "small", Keys: []string{"key"}, RatePerSec: 0.001}}
-	d.SetTraffic(&ranked)
+	d.SetTraffic(ranked)
 	var got reply
 	d.Serve(context.Background(), call("/once/x", "key"), &got)
 	if got.Status != 429 {
--- a/relay/dispatcher/cold.go
+++ b/relay/dispatcher/cold.go
@@ -9,11 +9,13 @@
 
 // SetColdEntries sets the number of entries among which the rates of cold upstreams are divided.
 func (d *Dispatcher) SetColdEntries(n int) {
+	d.WithRegistrar(func(r *registrar.Registrar) { r.SetColdEntries(n) })
+}
+
+// ReportColdStarts logs and counts the cold times that records announced since the last call.
+func (d *Dispatcher) ReportColdStarts() {
 	var starts []registrar.RecordedColdStart
-	d.WithRegistrar(func(r *registrar.Registrar) {
-		r.SetColdEntries(n)
-		starts = r.ColdStarts()
-	})
+	d.WithRegistrar(func(r *registrar.Registrar) { starts = r.ColdStarts() })
 	for _, s := range starts {
 		d.reportCold(s.Name, s.Service, s.ColdStart, "record")
 	}
--- a/relay/dispatcher/preview.go
+++ b/relay/dispatcher/preview.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/admitter"
 	"sequoiasill.dev/sequoiasill/decide/allotter"
@@ -63,11 +61,9 @@
 		p.Refusal = "no route for this host and path"
 		return p
 	}
-	j := &job{call: call, route: route, service: route.ServiceFor(xxhash.Sum64String(call.ID)), tried: make(map[string]bool)}
+	j := &job{call: call, tried: make(map[string]bool)}
+	j.setRoute(t, route)
 	p.Route, p.Service = route.Name, j.service
-	if s, ok := t.Service(j.service); ok {
-		j.engine = s.Engine != nil
-	}
 	if !route.Anonymous && len(t.Accounts) > 0 {
 		i := slices.IndexFunc(t.Accounts, func(a sequoiasill.Account) bool { return a.Name == r.Organisation })
 		if i < 0 {
@@ -94,9 +90,7 @@
 	if limit := j.route.Timeout; remaining <= 0 || limit > 0 && limit < remaining {
 		remaining = limit
 	}
-	p.Admission = d.admitter.Assess(now, admitter.Request{
-		Service: j.service, Priority: j.route.Priority, TargetLatency: j.route.TargetLatency, Timeout: j.route.Timeout, Remaining: remaining,
-	})
+	p.Admission = d.admitter.Assess(now, j.admissionRequest(remaining))
 	if paths == pathmonitor.Unreachable {
 		return // another entry would serve it
 	}
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -125,17 +125,13 @@
 		return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeNotFound, http.StatusNotFound,
 			"no route for this host and path in configuration %d", t.Version)
 	}
-	j.route, j.trafficVersion = route, t.Version
+	j.setRoute(t, route)
 	if !route.Anonymous && len(t.Accounts) > 0 {
 		if j.account, ok = t.AccountByKey(call.Key); !ok {
 			return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeUnauthorised, http.StatusUnauthorized,
 				"unknown key in configuration %d", t.Version)
 		}
 	}
-	j.service = route.ServiceFor(xxhash.Sum64String(call.ID))
-	if s, ok := t.Service(j.service); ok {
-		j.engine = s.Engine != nil
-	}
 	j.deadline = call.Deadline
 	if end := call.ArrivedAt + route.Timeout; route.Timeout > 0 && (j.deadline == 0 || end < j.deadline) {
 		j.deadline = end
@@ -158,6 +154,15 @@
 	return d.charge(j)
 }
 
+// setRoute sets the route and the service that follows from it.
+func (j *job) setRoute(t *sequoiasill.Traffic, route *sequoiasill.TrafficRoute) {
+	j.route, j.trafficVersion = route, t.Version
+	j.service = route.ServiceFor(xxhash.Sum64String(j.call.ID))
+	if s, ok := t.Service(j.service); ok {
+		j.engine = s.Engine != nil
+	}
+}
+
 // takeQuota charges the cost of the call to the organisation's quota. If the quota is exhausted, it
 // returns false and the time to wait before a retry. The caller holds the lock.
 func (d *Dispatcher) takeQuota(now sequoiasill.Millis, j *job) (sequoiasill.Millis, bool) {
--- a/relay/exchanger/count.go
+++ b/relay/exchanger/count.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// MaxEntries is the largest number of entries for which the system is designed.
-	MaxEntries = 380
 	// countSettleTime is how long no further entry may be discovered before the number of entries is
 	// taken as known. Entries compare all that they know every 3 s.
 	countSettleTime = 3 * sequoiasill.Second
@@ -42,13 +40,13 @@
 	discovered := n > 1 || c.seeds == 0
 	c.settled = c.settled || discovered && now-c.grewAt >= countSettleTime
 	if !c.settled {
-		return max(MaxEntries, n)
+		return max(sequoiasill.MaxEntries, n)
 	}
 	return max(n, c.seeds+1)
 }
 
 // AssumedEntries returns the number of entries among which a bound is divided that must hold without
-// messages. It is MaxEntries until the number is known, and later not below the number of entries in
+// messages. It is sequoiasill.MaxEntries until the number is known, and later not below the number of entries in
 // the settings, some of which this entry may not reach.
 func (e *Exchanger) AssumedEntries() int {
 	return max(e.count.assumed(e.clock.Now(), e.gossip.PossiblyAlive()), e.opts.MinEntries)
--- a/relay/relayer/server.go
+++ b/relay/relayer/server.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/status"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/reserver"
 	"sequoiasill.dev/sequoiasill/relay/dispatcher"
 	"sequoiasill.dev/sequoiasill/relay/relaypb"
 )
@@ -148,12 +149,9 @@
 
 // noMemory returns the refusal of a call for which there is no memory. It has not run here.
 func noMemory() *sequoiasill.Failure {
-	return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeOverloaded, http.StatusServiceUnavailable, "entry holds too many calls").WithRetryAfter(memoryRetryAfter)
+	return sequoiasill.NewFailure(sequoiasill.NotRun, sequoiasill.CodeOverloaded, http.StatusServiceUnavailable, "entry holds too many calls").WithRetryAfter(reserver.RetryAfter)
 }
 
-// memoryRetryAfter is the time after which a call that found no memory is repeated.
-const memoryRetryAfter = 500 * sequoiasill.Millis(1)
-
 // serve serves a call. A panic, which gRPC would let end the process, is reported as a failure of a
 // call that may have run.
 func (s *Server) serve(ctx context.Context, call *relaypb.Call, now sequoiasill.Millis, w *writer) {
--- a/traffic.go
+++ b/traffic.go
@@ -104,6 +104,26 @@
 	IdleTimeout   Millis // idle timeout of a keep-alive connection
 }
 
+// Sizes that apply where none is configured, in bytes.
+const (
+	defaultHeaderBytes = 16 << 10
+	defaultBodyBytes   = 4 << 20
+)
+
+// HeaderFraming allows for the request line and the framing of a header beyond its configured size, in bytes.
+const HeaderFraming = 4 << 10
+
+// WithDefaultSizes returns the limits with the default sizes where none is configured.
+func (l CallerLimits) WithDefaultSizes() CallerLimits {
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = defaultHeaderBytes
+	}
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = defaultBodyBytes
+	}
+	return l
+}
+
 // Route returns the route of the host with the longest prefix that matches the
 // path.
 func (t *Traffic) Route(host, path string) (*TrafficRoute, bool) {
