--- a/review/harness2/poison.go
+++ b/review/harness2/poison.go
@@ -112,7 +112,7 @@
 	close(stop)
 	traffic.Wait()
 	drafts, asked := q.all(), poison.all()
-	return judgePoison(r, l, drafts, asked), nil
+	return judgeCrashes(r, l, poisonPath, drafts, asked), nil
 }
 
 // crashBefore returns the event before which a replica crashes. With CRASH=first it is the first one, for
@@ -124,7 +124,8 @@
 	return 2
 }
 
-func judgePoison(r *record, l *ledger, drafts, asked []answer) bool {
+// judgeCrashes counts the retries of a request that reach replicas once it has crashed three.
+func judgeCrashes(r *record, l *ledger, path string, others, asked []answer) bool {
 	l.mu.Lock()
 	crashes := append([]time.Time(nil), l.crashes...)
 	l.mu.Unlock()
@@ -133,7 +134,7 @@
 	}
 	late, runs := make(map[string]bool), 0
 	for _, a := range l.all() {
-		if a.key != poisonPath {
+		if a.key != path {
 			continue
 		}
 		runs++
@@ -145,7 +146,7 @@
 	for _, a := range asked {
 		r.at(a.sent, "request %s sent to %s: %s %s", a.id, a.machine, a.result(), a.note)
 	}
-	r.results("other requests", drafts)
+	r.results("other requests", others)
 	r.note("the request reached replicas %d times and crashed %d", runs, len(crashes))
 	r.note("retries that reached replicas later than %s after its third crash: %d, at most %d are allowed", contact, len(late), maxRetries)
 	return len(late) > maxRetries
--- a/review/harness2/replica.go
+++ b/review/harness2/replica.go
@@ -134,12 +134,6 @@
 	}
 }
 
-func (p *replica) hasEnded() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.ended
-}
-
 func (p *replica) load() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
