--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -234,6 +235,22 @@
 	m.cmd = nil
 }
 
+// terminate sends SIGTERM to the process of a machine.
+func (m *machine) terminate() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cmd.Process.Signal(syscall.SIGTERM)
+}
+
+// wait waits until the process of a machine has ended, and kills it after graceS.
+func (m *machine) wait() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	timer := time.AfterFunc(grace, func() { _ = m.cmd.Process.Kill() })
+	defer timer.Stop()
+	_ = m.cmd.Wait()
+}
+
 // close ends all processes and removes the temporary folder.
 func (f *fleet) close() {
 	var wg sync.WaitGroup
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -55,7 +55,7 @@
 var errUsage = errors.New("usage: review2 CASE RECORD")
 
 func run() (bool, error) {
-	cases := map[string]play{"poison": playPoison, "blind": playBlind, "forgotten": playForgotten}
+	cases := map[string]play{"poison": playPoison, "blind": playBlind, "forgotten": playForgotten, "ending": playEnding}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		return false, errUsage
 	}
--- a/review/harness2/replica.go
+++ b/review/harness2/replica.go
@@ -44,6 +44,7 @@
 	heartbeat                           time.Duration
 	born                                time.Time
 	handle                              func(p *replica, w http.ResponseWriter, r *http.Request) // runs a request
+	before                              func()                                                   // called before anything is answered, if it is set
 	store                               *store
 	ledger                              *ledger
 
@@ -158,6 +159,9 @@
 }
 
 func (p *replica) serve(w http.ResponseWriter, r *http.Request) {
+	if p.before != nil {
+		p.before()
+	}
 	h := w.Header()
 	h.Set("Keep-Alive", "timeout=20")
 	h.Set("Load-Report", p.load())
