A stream that is resumed after its last event may end without another one

Cause: a response without a length and without an event was taken for broken off unless this entry had begun the response to the caller. The entry that serves a relayed call, or at which a caller resumes its stream, knows only the last event. Ruled out: lost paths of the other entry, upstreams that broke off.

Test: TestStreamResumedAfterItsLastEventIsComplete; before the fix its three cases with a living upstream got 502 and charges.

--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -96,10 +96,10 @@
 
 // end handles the end of the stream, with the bytes after its last complete event. A stream that
 // ends inside an event broke off, and so did one that ended with its connection before its first
-// event or with its upstream. One that is resumed after its last event has no more events. A stream without
-// events is delivered as a header.
+// event or with its upstream. One that is resumed after its last event, by this entry, by the one that relayed
+// the call or by the caller, has no more events. A stream without events is delivered as a header.
 func (f *forwarder) end(ctx context.Context, rest []byte) error {
-	if len(rest) > 0 || f.delivered == 0 && f.response.UntilClose && !f.headerSent {
+	if len(rest) > 0 || f.delivered == 0 && f.response.UntilClose && !f.resumed() {
 		return io.ErrUnexpectedEOF
 	}
 	if err := f.response.complete(ctx); err != nil {
@@ -115,6 +115,9 @@
 	return nil
 }
 
+// resumed reports whether the caller has received the start of the stream, from this response or an earlier one.
+func (f *forwarder) resumed() bool { return f.headerSent || f.events.last != "" }
+
 // errNotResumed is the error of a stream that does not go on after the last event that was delivered.
 var errNotResumed = errors.New("stream does not go on after the last event")
 
