--- a/decide/blamer/blamer.go
+++ b/decide/blamer/blamer.go
@@ -3,7 +3,10 @@
 // A complete response clears a request. A request with too many such crashes is
 // refused for some time and is then on probation: one more crash refuses it for longer.
 //
-// Entries report their charges to a few collectors, which combine them, as a caller
+// It decides only clear cases, at once: requests that got no complete response here lately and that no other
+// request shared a crash with. Package partblamer decides the others, with the reports of all entries.
+//
+// Entries report their charges to a few collectors, for those of older builds, which combine them, as a caller
 // that sends a request again usually reaches another entry.
 //
 // A Blamer is a state machine without I/O. It is designed for a load in which one
@@ -13,10 +16,12 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/recaller"
 )
 
 // Fingerprint identifies a request by its caller, path and body.
@@ -37,11 +42,13 @@
 	ProbationDuration sequoiasill.Millis
 	// MaxCharges bounds the charges that are kept and reported; the oldest are dropped.
 	MaxCharges int
+	// MaxResponses bounds the requests whose last complete response is remembered.
+	MaxResponses int
 }
 
 // DefaultOptions returns the options that entries use.
 func DefaultOptions() Options {
-	return Options{CrashThreshold: 3, ChargeLifetime: 30 * sequoiasill.Second, RefusalDuration: 2 * sequoiasill.Minute, ProbationDuration: 10 * sequoiasill.Minute, MaxCharges: 64}
+	return Options{CrashThreshold: 3, ChargeLifetime: 30 * sequoiasill.Second, RefusalDuration: 2 * sequoiasill.Minute, ProbationDuration: 10 * sequoiasill.Minute, MaxCharges: 64, MaxResponses: 4096}
 }
 
 // Charge records that an upstream may have crashed while it ran a request.
@@ -55,7 +62,9 @@
 // safe for concurrent use.
 type Blamer struct {
 	opts             Options
-	ownCharges       []Charge            // oldest first
+	ownCharges       []Charge // oldest first
+	truncated        []Charge // of requests whose responses had begun, oldest first
+	responses        recaller.Recaller[Fingerprint]
 	chargesByProcess map[string][]Charge // of other entries
 	refusals         map[Fingerprint]refusal
 }
@@ -68,7 +77,14 @@
 
 // New returns a blamer without charges.
 func New(opts Options) *Blamer {
-	return &Blamer{opts: opts, chargesByProcess: make(map[string][]Charge), refusals: make(map[Fingerprint]refusal)}
+	return &Blamer{opts: opts, chargesByProcess: make(map[string][]Charge), refusals: make(map[Fingerprint]refusal), responses: recaller.New[Fingerprint](opts.MaxResponses)}
+}
+
+// RecordTruncated records that an upstream may have crashed while it responded to a request. It does not count
+// against the request, which shares the crash with others.
+func (b *Blamer) RecordTruncated(now sequoiasill.Millis, f Fingerprint, upstream uint64) {
+	b.truncated = append(b.truncated, Charge{Fingerprint: f, Upstream: upstream, At: now})
+	b.truncated = b.truncated[max(len(b.truncated)-b.opts.MaxCharges, 0):]
 }
 
 // RecordCrash charges a request with the crash of an upstream. It reports whether the request
@@ -82,6 +98,7 @@
 // RecordResponse clears the charges and the probation of a request that got a complete
 // response. A refusal that has not ended stays.
 func (b *Blamer) RecordResponse(now sequoiasill.Millis, f Fingerprint) {
+	b.responses.Put(f, now)
 	if r, known := b.refusals[f]; known && r.until <= now {
 		delete(b.refusals, f)
 	}
@@ -132,25 +149,50 @@
 	if _, refused := b.Refused(now, f); refused {
 		return false
 	}
+	if at, ok := b.responses.Last(f); ok && now-at <= b.opts.ChargeLifetime {
+		return false
+	}
 	upstreams := make(map[uint64]bool)
-	for _, list := range append(slices.Collect(maps.Values(b.chargesByProcess)), b.ownCharges) {
-		for _, c := range list {
-			if c.Fingerprint == f && now-c.At <= b.opts.ChargeLifetime {
-				upstreams[c.Upstream] = true
-			}
+	for c := range b.liveCharges(now) {
+		if c.Fingerprint == f {
+			upstreams[c.Upstream] = true
 		}
 	}
 	threshold, duration := b.opts.CrashThreshold, b.opts.RefusalDuration
 	if previous, onProbation := b.refusals[f]; onProbation {
 		threshold, duration = 1, 2*previous.duration
 	}
-	if len(upstreams) < threshold {
+	if len(upstreams) < threshold || b.isShared(now, f, upstreams) {
 		return false
 	}
 	b.Refuse(now, f, now+duration)
 	return true
 }
 
+// liveCharges returns the charges that this process knows and that have not expired.
+func (b *Blamer) liveCharges(now sequoiasill.Millis) iter.Seq[Charge] {
+	return func(yield func(Charge) bool) {
+		for _, list := range append(slices.Collect(maps.Values(b.chargesByProcess)), b.ownCharges) {
+			for _, c := range list {
+				if now-c.At <= b.opts.ChargeLifetime && !yield(c) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// isShared reports whether another request was in progress at an upstream when it crashed under a request.
+func (b *Blamer) isShared(now sequoiasill.Millis, f Fingerprint, upstreams map[uint64]bool) bool {
+	shares := func(c Charge) bool { return c.Fingerprint != f && upstreams[c.Upstream] }
+	for c := range b.liveCharges(now) {
+		if shares(c) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(b.truncated, shares)
+}
+
 // Refuse refuses a request until a time.
 func (b *Blamer) Refuse(now sequoiasill.Millis, f Fingerprint, until sequoiasill.Millis) {
 	if until > b.refusals[f].until {
--- a/decide/blamer/blamer_test.go
+++ b/decide/blamer/blamer_test.go
@@ -55,6 +55,29 @@
 			b.RecordCrash(20*second, poison, 2)
 			b.RecordCrash(40*second, poison, 3)
 		}, false},
+		"another request in progress at one of them": {func(b *blamer.Blamer) {
+			b.RecordCrash(0, poison, 1)
+			b.RecordCrash(second, poison, 2)
+			b.RecordCrash(2*second, other, 3)
+			b.RecordCrash(2*second, poison, 3)
+		}, false},
+		"another request, whose response had begun, in progress at one of them": {func(b *blamer.Blamer) {
+			b.RecordCrash(0, poison, 1)
+			b.RecordTruncated(second, other, 2)
+			b.RecordCrash(second, poison, 2)
+			b.RecordCrash(2*second, poison, 3)
+		}, false},
+		"responses that had begun": {func(b *blamer.Blamer) {
+			for i := range uint64(3) {
+				b.RecordTruncated(second, poison, i)
+			}
+		}, false},
+		"a complete response before": {func(b *blamer.Blamer) {
+			b.RecordResponse(0, poison)
+			for i := range uint64(3) {
+				b.RecordCrash(second, poison, i)
+			}
+		}, false},
 		"crashes of other requests": {func(b *blamer.Blamer) {
 			b.RecordCrash(0, poison, 1)
 			b.RecordCrash(0, other, 2)
--- a/decide/classifier/classifier.go
+++ b/decide/classifier/classifier.go
@@ -58,12 +58,16 @@
 	Retry   RetryPolicy
 	// ChargeCrash reports that the call may have crashed the upstream.
 	ChargeCrash bool
+	// ConfirmCrash reports that the upstream had begun to respond, so that it may have ended only this response:
+	// the call is charged only once the upstream is known to have ended.
+	ConfirmCrash bool
 }
 
 // Classify classifies the end of a send.
 func Classify(e End) Classification {
 	c := Classification{Outcome: e.registrarOutcome(), Send: e.sendResult(), Retry: e.retry()}
-	c.ChargeCrash = (e.Kind == ConnectionClosed || e.Kind == NoResponse || e.Kind == EmptyStream) && !e.EndedHere
+	c.ConfirmCrash = (e.Kind == Truncated || e.Kind == EmptyStream) && !e.EndedHere
+	c.ChargeCrash = (e.Kind == ConnectionClosed || e.Kind == NoResponse) && !e.EndedHere || c.ConfirmCrash
 	return c
 }
 
--- a/decide/classifier/classifier_test.go
+++ b/decide/classifier/classifier_test.go
@@ -59,13 +59,17 @@
 			classifier.End{Kind: classifier.Failed},
 			classifier.Classification{Outcome: registrar.Failed, Retry: classifier.RetryRepeatable},
 		},
-		"a truncated response is not charged": {
+		"a truncated response is charged if its upstream has ended": {
 			classifier.End{Kind: classifier.Truncated},
+			classifier.Classification{Outcome: registrar.Failed, Retry: classifier.RetryRepeatable, ChargeCrash: true, ConfirmCrash: true},
+		},
+		"a response that this entry truncated": {
+			classifier.End{Kind: classifier.Truncated, EndedHere: true},
 			classifier.Classification{Outcome: registrar.Failed, Retry: classifier.RetryRepeatable},
 		},
-		"a stream that ended before its first event": {
+		"a stream that ended before its first event is charged if its upstream has ended": {
 			classifier.End{Kind: classifier.EmptyStream},
-			classifier.Classification{Outcome: registrar.Failed, Retry: classifier.RetryRepeatable, ChargeCrash: true},
+			classifier.Classification{Outcome: registrar.Failed, Retry: classifier.RetryRepeatable, ChargeCrash: true, ConfirmCrash: true},
 		},
 		"a stream that this entry ended before its first event": {
 			classifier.End{Kind: classifier.EmptyStream, EndedHere: true},
--- a/decide/partblamer/collector.go
+++ b/decide/partblamer/collector.go
@@ -56,7 +56,7 @@
 	}
 	for _, c := range b.allCrashes() {
 		for _, p := range c.Parts {
-			if at, ok := b.served.last(p); ok {
+			if at, ok := b.served.Last(p); ok {
 				out[p] = max(out[p], at)
 			}
 		}
@@ -248,6 +248,9 @@
 // suspect that was served after the first of the crashes did not cause that one, and is in fewer calls
 // as the crashes before its service do not count.
 func (b *Blamer) isSpared(s *suspicion, suspects []*suspicion) bool {
+	if b.opts.ByUpstream {
+		return slices.ContainsFunc(suspects, func(other *suspicion) bool { return other != s && b.isLikelier(other, s) })
+	}
 	first := s.firstCrash()
 	return slices.ContainsFunc(suspects, func(other *suspicion) bool {
 		return len(other.crashedAt) >= b.opts.SuspicionThreshold && len(other.crashes) < len(s.crashes) &&
@@ -255,6 +258,33 @@
 	})
 }
 
+// isLikelier reports whether another request is the more likely cause of the crashes of a suspicion: it was in
+// progress at nearly all of these upstreams, and at more upstreams that crashed or, at as many, in fewer
+// calls. Of two requests of which neither is, both are spared until there are more crashes.
+func (b *Blamer) isLikelier(other, s *suspicion) bool {
+	if len(other.crashedAt) < b.opts.SuspicionThreshold || other.servedAt >= s.firstCrash() || s.upstreamsNotOf(other) >= b.opts.CrashThreshold {
+		return false
+	}
+	switch {
+	case len(other.crashedAt) != len(s.crashedAt):
+		return len(other.crashedAt) > len(s.crashedAt)
+	case len(other.crashes) != len(s.crashes):
+		return len(other.crashes) < len(s.crashes)
+	}
+	return len(s.crashedAt) < b.opts.KnownCrashThreshold
+}
+
+// upstreamsNotOf returns the number of upstreams whose crash another suspicion does not share.
+func (s *suspicion) upstreamsNotOf(other *suspicion) int {
+	n := 0
+	for upstream := range s.crashedAt {
+		if _, shared := other.crashedAt[upstream]; !shared {
+			n++
+		}
+	}
+	return n
+}
+
 // suffices reports whether a suspicion suffices for a quarantine. That calls with a part of a
 // quarantined signature, but not with all of it, crash further upstreams shows that the signature
 // holds parts that are not deadly.
@@ -263,7 +293,7 @@
 	if !suspected || now-since < b.opts.ReplyTime || len(s.requests) < b.opts.MinRequests {
 		return false
 	}
-	n := outages(s.crashedAt, b.opts.OutageWindow)
+	n := outages(b.settled(now, s.crashedAt), b.opts.OutageWindow)
 	switch {
 	case s.explained:
 		return s.servedAt == 0 && len(s.unexplainedAt) >= b.opts.SuspicionThreshold && !b.isQuarantined(now, s.signature(served))
@@ -273,6 +303,17 @@
 	return n >= b.opts.KnownCrashThreshold && now-s.servedAt >= b.opts.MinSilence
 }
 
+// settled returns the crashes that are old enough that all entries have reported the calls that ended with
+// them, if that matters.
+func (b *Blamer) settled(now sequoiasill.Millis, crashedAt map[uint64]sequoiasill.Millis) map[uint64]sequoiasill.Millis {
+	if !b.opts.ByUpstream {
+		return crashedAt
+	}
+	out := maps.Clone(crashedAt)
+	maps.DeleteFunc(out, func(_ uint64, at sequoiasill.Millis) bool { return now-at < b.opts.ReplyTime })
+	return out
+}
+
 // sorted returns the suspicions in the order of their strength: parts that were never served
 // first, then by the number of upstreams. Among equals, the part that was in fewer calls is the
 // more likely cause of the crashes.
--- a/decide/partblamer/partblamer.go
+++ b/decide/partblamer/partblamer.go
@@ -9,6 +9,11 @@
 // announces the parts that it suspects, entries reply when they last served them, and parts that
 // took part in enough crashes since then are quarantined by all entries.
 //
+// With RequestOptions it identifies single requests instead, which are then their only part. A crash ends
+// all calls in progress at its upstream, so that callers who send the same request at the same time are
+// suspected together with the one that caused it: what sets that one apart is that it crashes every
+// upstream that runs it.
+//
 // A Blamer is a state machine without I/O. It is designed for a load in which a few percent of
 // the calls of one kind crash an upstream each, at any entry, while other upstreams crash for
 // other reasons.
@@ -21,6 +26,7 @@
 	"strings"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/recaller"
 )
 
 // Part identifies a part of a prompt.
@@ -36,7 +42,11 @@
 	return slices.Compact(out)
 }
 
-// Crash is a call that ended with its upstream before the first event of its response.
+// RequestPart returns the part that stands for a whole request.
+func RequestPart(request uint64) []Part { return []Part{Part(request)} }
+
+// Crash is a call that ended with its upstream: before the first event of its response, or at any time for a
+// Blamer of requests.
 type Crash struct {
 	Request  uint64 // identifies the request: organisation, path and body
 	Upstream uint64 // identifies the incarnation of the upstream
@@ -113,6 +123,9 @@
 	ProbeDelayFactor sequoiasill.Millis
 	// MaxServedParts bounds the parts whose last service is remembered.
 	MaxServedParts int
+	// ByUpstream states that calls with different parts that end with the same upstream are suspected of the
+	// same crash. Otherwise only the parts of one call are.
+	ByUpstream bool
 }
 
 // DefaultOptions returns the options that entries use.
@@ -124,12 +137,19 @@
 	}
 }
 
+// RequestOptions returns the options of a Blamer that identifies requests.
+func RequestOptions() Options {
+	o := DefaultOptions()
+	o.MinRequests, o.MaxCrashes, o.ByUpstream = 1, 128, true
+	return o
+}
+
 // Blamer holds the crashes and quarantines that an entry knows and, on a collector, the reports
 // of other entries. It is not safe for concurrent use.
 type Blamer struct {
 	opts         Options
 	crashes      []Crash // of this entry, oldest first
-	served       servedParts
+	served       recaller.Recaller[Part]
 	suspects     map[string]suspectList // by collector
 	quarantines  map[string]*quarantine
 	reportIsDue  bool
@@ -171,7 +191,7 @@
 // New returns a blamer without crashes.
 func New(opts Options) *Blamer {
 	return &Blamer{
-		opts: opts, served: newServedParts(opts.MaxServedParts), suspects: make(map[string]suspectList), quarantines: make(map[string]*quarantine),
+		opts: opts, served: recaller.New[Part](opts.MaxServedParts), suspects: make(map[string]suspectList), quarantines: make(map[string]*quarantine),
 		reports: make(map[string]Report), suspectedSince: make(map[Part]sequoiasill.Millis),
 	}
 }
@@ -181,8 +201,7 @@
 	if len(c.Parts) == 0 {
 		return
 	}
-	b.crashes = append(b.crashes, c)
-	b.crashes = b.crashes[max(len(b.crashes)-b.opts.MaxCrashes, 0):]
+	b.addCrash(c)
 	b.reportIsDue = true
 	for _, q := range b.quarantines {
 		if q.signature.matches(c.Parts) {
@@ -194,14 +213,59 @@
 	}
 }
 
-// RecordServed records that an upstream began to respond to a call with the given parts. It lifts
-// the quarantines that the call disproves.
+// maxCallsPerUpstream is the number of calls with the same request that are recorded for the crash of one
+// upstream. A second one shows that the request was in progress more often than another one.
+const maxCallsPerUpstream = 2
+
+// addCrash adds a crash and, if there are too many, drops one: a crash of a request that took part in no other
+// if crashes are attributed by upstream, and the oldest one otherwise.
+func (b *Blamer) addCrash(c Crash) {
+	if b.opts.ByUpstream && b.callsAt(c) >= maxCallsPerUpstream {
+		return
+	}
+	b.crashes = append(b.crashes, c)
+	if len(b.crashes) <= b.opts.MaxCrashes {
+		return
+	}
+	dropped := 0
+	if b.opts.ByUpstream {
+		dropped = max(slices.IndexFunc(b.crashes, b.isOnly), 0)
+	}
+	b.crashes = slices.Delete(b.crashes, dropped, dropped+1)
+}
+
+// callsAt returns the number of recorded calls with the request of a crash that ended with the same upstream.
+func (b *Blamer) callsAt(c Crash) int {
+	n := 0
+	for _, other := range b.crashes {
+		if other.Request == c.Request && other.Upstream == c.Upstream {
+			n++
+		}
+	}
+	return n
+}
+
+// isOnly reports whether the request of a crash took part in no crash of another upstream.
+func (b *Blamer) isOnly(c Crash) bool {
+	return !slices.ContainsFunc(b.crashes, func(other Crash) bool { return other.Request == c.Request && other.Upstream != c.Upstream })
+}
+
+// RecordAlive records that an upstream incarnation responds, to a call that was sent at a time: it has not
+// crashed before.
+func (b *Blamer) RecordAlive(upstream uint64, sentAt sequoiasill.Millis) {
+	before := len(b.crashes)
+	b.crashes = slices.DeleteFunc(b.crashes, func(c Crash) bool { return c.Upstream == upstream && c.At < sentAt })
+	b.reportIsDue = b.reportIsDue || len(b.crashes) < before
+}
+
+// RecordServed records that an upstream began to respond to a call with the given parts or, for a Blamer of
+// requests, responded in full. It lifts the quarantines that the call disproves.
 func (b *Blamer) RecordServed(now sequoiasill.Millis, parts []Part) {
 	for _, p := range parts {
 		if b.isSuspected(p) && !b.servedSinceReport(p) {
 			b.reportIsDue = true
 		}
-		b.served.put(p, now)
+		b.served.Put(p, now)
 	}
 	for key, q := range b.quarantines {
 		if q.signature.matches(parts) {
@@ -223,7 +287,7 @@
 
 // servedSinceReport reports whether a part has been served here since the last report.
 func (b *Blamer) servedSinceReport(p Part) bool {
-	at, known := b.served.last(p)
+	at, known := b.served.Last(p)
 	return known && at > b.lastReportAt
 }
 
@@ -253,7 +317,7 @@
 	out := make(map[Part]sequoiasill.Millis)
 	for _, list := range b.suspects {
 		for _, p := range list.parts {
-			if at, ok := b.served.last(p); ok {
+			if at, ok := b.served.Last(p); ok {
 				out[p] = at
 			}
 		}
@@ -279,7 +343,7 @@
 
 func (b *Blamer) allServedSince(c Crash) bool {
 	for _, p := range c.Parts {
-		if at, ok := b.served.last(p); !ok || at <= c.At {
+		if at, ok := b.served.Last(p); !ok || at <= c.At {
 			return false
 		}
 	}
@@ -293,7 +357,7 @@
 		return
 	}
 	for _, p := range parts {
-		if _, ok := b.served.last(p); ok && !slices.Contains(b.suspects[collector].parts, p) {
+		if _, ok := b.served.Last(p); ok && !slices.Contains(b.suspects[collector].parts, p) {
 			b.reportIsDue = true
 		}
 	}
@@ -317,7 +381,7 @@
 	_, known = b.quarantines[s.String()]
 	delete(b.quarantines, s.String())
 	for _, p := range s {
-		b.served.put(p, now)
+		b.served.Put(p, now)
 	}
 	return known
 }
@@ -385,7 +449,7 @@
 
 func (b *Blamer) allServed(parts []Part) bool {
 	return !slices.ContainsFunc(parts, func(p Part) bool {
-		_, ok := b.served.last(p)
+		_, ok := b.served.Last(p)
 		return !ok
 	})
 }
--- a/decide/registrar/registrar.go
+++ b/decide/registrar/registrar.go
@@ -215,6 +215,12 @@
 	return known && n.StartedAt <= notice.startedAt
 }
 
+// IsLeaving reports whether an incarnation of an upstream is known to be shutting down, so that its end is no crash.
+func (r *Registrar) IsLeaving(n sequoiasill.Replica) bool {
+	s, known := r.replicas[n.Name]
+	return r.isDraining(n) || n.Draining || known && s.replica.StartedAt == n.StartedAt && s.replica.Draining
+}
+
 func (s *state) setDraining(now sequoiasill.Millis, draining bool) {
 	s.replica.Draining = draining
 	if draining && s.drainingSince == 0 {
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -204,13 +204,10 @@
 		t.recordBreak()
 		t.d.paths.Failed(t.service)
 	}
-	switch {
-	case !a.ChargeCrash || t.relay:
-	case e.ClosedByUpstream:
-		t.recordCrash()
-	default:
-		at := t.d.clock.Now()
-		t.d.whenReached(t.service, "crash", func() { t.recordCrashUnlessTogether(at) })
+	if a.ChargeCrash && !t.relay {
+		// A call that tests a quarantined request makes one attempt.
+		t.testsRequest = false
+		t.suspectCrash(e, a.ConfirmCrash)
 	}
 	t.recordEnd(a.Outcome, result, args...)
 	if a.Retry == classifier.RetryAny || a.Retry == classifier.RetryRepeatable && t.route.MayRetry() {
@@ -226,6 +223,9 @@
 		openedAt = t.started
 	}
 	t.d.paths.Responded(t.service, openedAt)
+	if response.Authentic || response.Refused && !response.Misdirected {
+		t.d.requests.RecordAlive(t.incarnation(), t.started)
+	}
 }
 
 // slowConnect is the duration from which a connect that was given up counts as failed. A connect
@@ -343,9 +343,13 @@
 		return t.conclude(e, "caller left", "caller left")
 	case err != nil:
 		e.Kind = classifier.Truncated
+		e.EndedHere = e.EndedHere || errors.Is(err, errTooLong)
 		return t.conclude(e, "answer broke off", "answer broke off", "error", err)
 	case !a.Authentic:
 		return t.conclude(e, "answer is not the upstream's", "answer is not the upstream's", "status", a.Status)
+	}
+	t.d.requests.RecordServed(t.requestPart())
+	switch {
 	case t.headerSent:
 		// Only an event stream can continue a stream.
 		return t.conclude(e, "no stream", "upstream did not resume the stream", "status", a.Status)
--- a/relay/dispatcher/await_test.go
+++ b/relay/dispatcher/await_test.go
@@ -238,6 +238,8 @@
 	return nil, sendError{v: sequoiasill.NotRun}
 }
 
+func (c *connectingTransport) Outlived(context.Context, sequoiasill.Replica) error { return nil }
+
 // Guards against calls that are held to their deadline, and against a drained retry budget: a call that was sent
 // to no upstream is refused once all were tried, and takes no repeat.
 func TestCallThatWasNeverSentIsRefused(t *testing.T) {
--- a/relay/dispatcher/body.go
+++ b/relay/dispatcher/body.go
@@ -12,6 +12,9 @@
 // limits.
 const bodyChunk = 16 << 10
 
+// errTooLong is the error of a response of which this entry reads no more.
+const errTooLong = errors.ConstError("response is too long")
+
 // readBody reads a response to its end. Its bytes count towards the shared buffer until
 // release is called.
 func (d *Dispatcher) readBody(body io.Reader) (b []byte, release func(), err error) {
@@ -26,9 +29,9 @@
 		case err != nil:
 			return buf.Bytes(), release, err
 		case buf.Len() > d.opts.MaxResponseBytes:
-			return nil, release, errors.Errorf("answer is longer than %d bytes", d.opts.MaxResponseBytes)
+			return nil, release, errors.Annotatef(errTooLong, "answer is longer than %d bytes", d.opts.MaxResponseBytes)
 		case buf.Len() > d.opts.SmallResponseBytes && total > int64(d.opts.MaxBufferedBytes):
-			return nil, release, errors.Errorf("answers of %d bytes are held already", total)
+			return nil, release, errors.Annotatef(errTooLong, "answers of %d bytes are held already", total)
 		}
 	}
 }
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/singleflight"
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/admitter"
@@ -68,6 +69,9 @@
 // Transport sends attempts to upstreams. Its errors carry a verdict, see Verdict.
 type Transport interface {
 	Send(ctx context.Context, a Attempt) (*Response, error)
+	// Outlived reports whether an upstream still runs after it ended a response or a connection. It returns nil if
+	// so, and an error that wraps syscall.ECONNREFUSED if its host answers that it does not.
+	Outlived(ctx context.Context, r sequoiasill.Replica) error
 }
 
 // ResponseWriter writes the response to a caller. The first call is one of SendWhole, Refuse
@@ -121,12 +125,27 @@
 	// Screen decides whether a call with the given parts may be sent, with the delay before a
 	// retry if it may not.
 	Screen(parts []partblamer.Part) (d partblamer.Decision, retryAfter sequoiasill.Millis)
-	// RecordCrash records that an upstream crashed under a call before it began to respond.
+	// RecordCrash records that an upstream crashed under a call: before it began to respond, or at any time for
+	// whole requests.
 	RecordCrash(c partblamer.Crash)
-	// RecordServed records that an upstream began to respond to a call with the given parts.
+	// RecordServed records that an upstream began to respond to a call with the given parts, or responded in
+	// full to a whole request.
 	RecordServed(parts []partblamer.Part)
 }
 
+// RequestScreener keeps requests from upstreams that they would crash. A request is its own only part.
+type RequestScreener interface {
+	Screener
+	// RecordAlive records that an upstream incarnation responds to a call that was sent at a time.
+	RecordAlive(upstream uint64, sentAt sequoiasill.Millis)
+}
+
+// Screeners keep calls from upstreams that would crash under them.
+type Screeners struct {
+	Parts    Screener
+	Requests RequestScreener
+}
+
 // Paths watches the paths of this entry to the upstreams of each service.
 type Paths interface {
 	State(service string) pathmonitor.State
@@ -237,6 +256,8 @@
 	peers         Peers
 	moves         Moves
 	screener      Screener
+	requests      RequestScreener
+	endChecks     singleflight.Group // by upstream incarnation
 	paths         Paths
 	relays        Relays
 	meter         Meter
@@ -272,12 +293,12 @@
 
 // New returns a dispatcher without traffic rules, which refuses calls until SetTraffic
 // provides them.
-func New(opts Options, transport Transport, peers Peers, moves Moves, screener Screener, paths Paths, relays Relays, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
+func New(opts Options, transport Transport, peers Peers, moves Moves, screeners Screeners, paths Paths, relays Relays, meter Meter, ds StateMachines, clock sequoiasill.Clock, log hclog.Logger) *Dispatcher {
 	callsEnd, endCalls := context.WithCancel(context.Background())
 	streamsEnd, endStreams := context.WithCancel(context.Background())
 	return &Dispatcher{
 		callsEnd: callsEnd, endCalls: endCalls, streamsEnd: streamsEnd, endStreams: endStreams, durations: newDurations(),
-		opts: opts, transport: transport, peers: peers, moves: moves, screener: screener, paths: paths, relays: relays, meter: meter, clock: clock, log: log.Named("dispatcher"),
+		opts: opts, transport: transport, peers: peers, moves: moves, screener: screeners.Parts, requests: screeners.Requests, paths: paths, relays: relays, meter: meter, clock: clock, log: log.Named("dispatcher"),
 		registrar: ds.Registrar, assigner: ds.Assigner, allotter: ds.Allotter, admitter: ds.Admitter, rationer: ds.Rationer, blamer: ds.Blamer, engineLoads: make(map[string]*engineLoad), tries: make(map[*try]bool), doubts: make(map[string][]doubt), breaks: make(map[string][]pathBreak),
 	}
 }
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -70,7 +70,18 @@
 	mu        sync.Mutex
 	steps     []step
 	attempts  []dispatcher.Attempt
-	readWhole []bool // whether each response was read to its end
+	readWhole []bool          // whether each response was read to its end
+	ended     map[string]bool // by upstream
+}
+
+// Outlived implements dispatcher.Transport. An upstream has ended if a step said so.
+func (c *fakeTransport) Outlived(_ context.Context, r sequoiasill.Replica) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended[r.Name] {
+		return syscall.ECONNREFUSED
+	}
+	return nil
 }
 
 func (c *fakeTransport) Send(ctx context.Context, a dispatcher.Attempt) (*dispatcher.Response, error) {
@@ -84,6 +95,12 @@
 	c.mu.Lock()
 	s := c.steps[min(len(c.attempts), len(c.steps)-1)]
 	c.attempts = append(c.attempts, a)
+	if s.gone || s.fail && s.verdict != sequoiasill.NotRun {
+		if c.ended == nil {
+			c.ended = make(map[string]bool)
+		}
+		c.ended[a.Replica.Name] = true
+	}
 	c.mu.Unlock()
 	if s.hang {
 		<-ctx.Done()
@@ -303,6 +320,11 @@
 	return screener.New(partblamer.New(partblamer.DefaultOptions()), sequoiasill.NewSystemClock(), meter.New(), hclog.NewNullLogger())
 }
 
+// soundRequests returns a screener of requests that has seen no crash.
+func soundRequests() *screener.Screener {
+	return screener.NewOfRequests(partblamer.New(partblamer.RequestOptions()), sequoiasill.NewSystemClock(), meter.New(), hclog.NewNullLogger())
+}
+
 // newScreeningDispatcher returns one that screens calls.
 func newScreeningDispatcher(c dispatcher.Transport, u *fakePeers, screen dispatcher.Screener, budget *rationer.Rationer, log hclog.Logger) *dispatcher.Dispatcher {
 	return newDispatcherOf(c, u, screen, &fakePaths{}, &fakeRelays{}, budget, log)
@@ -310,12 +332,17 @@
 
 // newDispatcherOf returns one with the given paths and other entries.
 func newDispatcherOf(c dispatcher.Transport, u *fakePeers, screen dispatcher.Screener, paths dispatcher.Paths, relays dispatcher.Relays, budget *rationer.Rationer, log hclog.Logger) *dispatcher.Dispatcher {
+	return newScreenedDispatcher(c, u, dispatcher.Screeners{Parts: screen, Requests: soundRequests()}, paths, relays, budget, log)
+}
+
+// newScreenedDispatcher returns one with the given screeners.
+func newScreenedDispatcher(c dispatcher.Transport, u *fakePeers, screeners dispatcher.Screeners, paths dispatcher.Paths, relays dispatcher.Relays, budget *rationer.Rationer, log hclog.Logger) *dispatcher.Dispatcher {
 	clock := sequoiasill.NewSystemClock()
 	r := registrar.New(registrar.DefaultOptions(), 1)
 	for i := range 3 {
 		r.Announce(clock.Now(), sequoiasill.Replica{Name: fmt.Sprintf("r%d", i), Service: "plain", Address: "10.0.0.1:1", Slots: 4, Revision: 1})
 	}
-	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, u, screen, paths, relays, meter.New(), dispatcher.StateMachines{
+	d := dispatcher.New(dispatcher.DefaultOptions(), c, u, u, screeners, paths, relays, meter.New(), dispatcher.StateMachines{
 		Registrar: r, Assigner: assigner.New(assigner.DefaultOptions(), 1), Allotter: allotter.New(allotter.Limits{Window: 1000}, 1, true),
 		Admitter: admitter.New(admitter.DefaultOptions(), 1), Rationer: budget, Blamer: blamer.New(blamer.DefaultOptions()),
 	}, clock, log)
--- a/relay/dispatcher/endless_test.go
+++ b/relay/dispatcher/endless_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/hashicorp/go-hclog"
 
+	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/rationer"
 	"sequoiasill.dev/sequoiasill/relay/dispatcher"
 )
@@ -43,6 +44,8 @@
 	}, nil
 }
 
+func (e *endlessTransport) Outlived(context.Context, sequoiasill.Replica) error { return nil }
+
 type endlessBody struct {
 	transport *endlessTransport
 	n         int
--- a/relay/dispatcher/latearrivals_test.go
+++ b/relay/dispatcher/latearrivals_test.go
@@ -25,6 +25,8 @@
 	clock   sequoiasill.Clock
 }
 
+func (*stalledTransport) Outlived(context.Context, sequoiasill.Replica) error { return nil }
+
 func (f *stalledTransport) Send(ctx context.Context, a dispatcher.Attempt) (*dispatcher.Response, error) {
 	f.mu.Lock()
 	if f.resumed {
--- a/relay/dispatcher/relay.go
+++ b/relay/dispatcher/relay.go
@@ -318,16 +318,6 @@
 	t.d.breaks[t.service] = append(kept, pathBreak{t.choice.Replica.Name, t.fingerprint, now})
 }
 
-// recordCrashUnlessTogether records that the upstream may have crashed under the call at a time,
-// unless this entry lost the connections to other upstreams with it.
-func (t *try) recordCrashUnlessTogether(at sequoiasill.Millis) {
-	if t.d.brokeTogether(t.service, at) {
-		t.d.log.Info("failure attributed to the paths of this entry", "service", t.service, "what", "connections that broke together")
-		return
-	}
-	t.recordCrash()
-}
-
 // brokeTogether reports whether the connections to most upstreams of a service with attempts in
 // progress broke around a time: then this entry lost them, also if it reaches the upstreams again.
 func (d *Dispatcher) brokeTogether(service string, at sequoiasill.Millis) bool {
--- a/relay/dispatcher/resume_test.go
+++ b/relay/dispatcher/resume_test.go
@@ -50,6 +50,7 @@
 			if diff := cmp.Diff(tc.want, got); diff != "" {
 				t.Errorf("response (-want +got):\n%s", diff)
 			}
+			d.AwaitDoubts(sequoiasill.NewSystemClock().Now() + 5*sequoiasill.Second)
 			if diff := cmp.Diff(tc.charges, len(d.Charges()) > 0); diff != "" {
 				t.Errorf("upstreams are charged with crashes (-want +got):\n%s", diff)
 			}
--- a/relay/dispatcher/screening_test.go
+++ b/relay/dispatcher/screening_test.go
@@ -48,7 +48,7 @@
 func TestQuarantinedPromptIsNotSent(t *testing.T) {
 	refused := reply{Status: 503, Ended: true, RetryAfter: 30_000}
 	stream := step{status: 200, events: true, body: "id: 1\ndata: a\n\n"}
-	crashing := step{status: 200, events: true, untilClose: true}
+	crashing := step{status: 200, events: true, untilClose: true, gone: true}
 	tests := map[string]struct {
 		passes  int
 		path    string
@@ -79,6 +79,7 @@
 			if diff := cmp.Diff(tc.sends, len(transport.attempts)); diff != "" {
 				t.Errorf("sends (-want +got):\n%s", diff)
 			}
+			d.AwaitDoubts(sequoiasill.NewSystemClock().Now() + 5*sequoiasill.Second)
 			if diff := cmp.Diff(tc.records, []int{screen.crashes, screen.served}); diff != "" {
 				t.Errorf("recorded crashes and services (-want +got):\n%s", diff)
 			}
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -32,6 +32,7 @@
 	fingerprint    blamer.Fingerprint
 	parts          []partblamer.Part // shared parts of the prompt
 	testsPart      bool              // the call tests whether its quarantined parts still crash upstreams
+	testsRequest   bool              // the call tests whether the request, which is quarantined, still crashes upstreams
 	retryBudget    *rationer.Call
 
 	tried      map[string]bool
--- a/relay/dispatcher/shutdown_test.go
+++ b/relay/dispatcher/shutdown_test.go
@@ -111,6 +111,8 @@
 	sends int
 }
 
+func (h *hangingTransport) Outlived(context.Context, sequoiasill.Replica) error { return nil }
+
 func (h *hangingTransport) Send(ctx context.Context, a dispatcher.Attempt) (*dispatcher.Response, error) {
 	if !h.connects {
 		<-ctx.Done()
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -30,10 +30,11 @@
 	err := f.copy(ctx)
 	t.countRun(a)
 	a.Close(err == nil)
-	e := classifier.End{Kind: classifier.Truncated, CallerDisconnected: f.writeFailed || callerDisconnected(ctx), Shutdown: endedByShutdown(ctx), EndedHere: ctx.Err() != nil, ClosedByUpstream: isClose(err)}
+	e := classifier.End{Kind: classifier.Truncated, CallerDisconnected: f.writeFailed || callerDisconnected(ctx), Shutdown: endedByShutdown(ctx), EndedHere: ctx.Err() != nil || errors.Is(err, errTooLong), ClosedByUpstream: isClose(err)}
 	switch {
 	case err == nil:
 		t.clearSuspicion()
+		t.d.requests.RecordServed(t.requestPart())
 		t.d.durations.record(t.route.Name, t.d.clock.Now()-t.started)
 		t.conclude(classifier.End{Kind: classifier.Succeeded}, "streamed", "", "events", f.delivered, "first", f.timeToFirstEvent)
 		t.d.meter.CallEnded(t.route.Kind, "good", t.d.clock.Now()-t.call.ArrivedAt)
@@ -89,7 +90,7 @@
 		case err != nil:
 			return err
 		case len(pending) > maxEventBytes:
-			return errors.Errorf("event is longer than %d bytes", maxEventBytes)
+			return errors.Annotatef(errTooLong, "event is longer than %d bytes", maxEventBytes)
 		}
 	}
 }
--- a/relay/exchanger/codec.go
+++ b/relay/exchanger/codec.go
@@ -15,7 +15,9 @@
 	Process string // process ID, different at each start
 	Demand  Demand
 	Tally   tallier.Tally
-	Charges []blamer.Charge
+	Charges []blamer.Charge // for older builds
+	// ReportsCrashes states that the entry also reports the crashes of upstreams under requests.
+	ReportsCrashes bool
 }
 
 // Demand is the load that callers place on an entry, per second.
@@ -31,6 +33,7 @@
 	Demand  wireDemand               `cbor:"2,keyasint"`
 	Tally   map[int64]map[string]int `cbor:"3,keyasint"`
 	Charges []wireCharge             `cbor:"4,keyasint,omitempty"`
+	Reports bool                     `cbor:"5,keyasint,omitempty"`
 }
 
 // wireCharge encodes a charge. It carries an age instead of a time because the clocks
@@ -64,7 +67,7 @@
 }
 
 func encodeState(s State, now sequoiasill.Millis) ([]byte, error) {
-	w := wireState{Process: s.Process, Demand: toWireDemand(s.Demand), Tally: make(map[int64]map[string]int, len(s.Tally))}
+	w := wireState{Process: s.Process, Demand: toWireDemand(s.Demand), Tally: make(map[int64]map[string]int, len(s.Tally)), Reports: s.ReportsCrashes}
 	for window, counts := range s.Tally {
 		w.Tally[window] = counts
 	}
@@ -80,7 +83,7 @@
 	if err := cbor.Unmarshal(b, &w); err != nil {
 		return State{}, errors.Annotate(err, "decode state")
 	}
-	s := State{Process: w.Process, Demand: fromWireDemand(w.Demand), Tally: make(tallier.Tally, len(w.Tally))}
+	s := State{Process: w.Process, Demand: fromWireDemand(w.Demand), Tally: make(tallier.Tally, len(w.Tally)), ReportsCrashes: w.Reports}
 	for window, counts := range w.Tally {
 		s.Tally[window] = counts
 	}
--- a/relay/exchanger/compatibility_test.go
+++ b/relay/exchanger/compatibility_test.go
@@ -20,7 +20,7 @@
 	return map[string]any{
 		"state": wireState{
 			Process: "p1", Demand: wireDemand{Tokens: map[string]int64{"small": 7}, Work: map[string]int64{"model": 8}, Spent: map[string]int64{"small": 9}},
-			Tally: map[int64]map[string]int{3: {"small": 4}}, Charges: []wireCharge{{Fingerprint: 1 << 63, Upstream: 2, AgeMillis: 30}},
+			Tally: map[int64]map[string]int{3: {"small": 4}}, Charges: []wireCharge{{Fingerprint: 1 << 63, Upstream: 2, AgeMillis: 30}}, Reports: true,
 		},
 		"replica":    wireReplica{Service: "model", Address: "10.0.0.1:1", Zone: "a", Version: "v1", Slots: 6, Draining: true, Reclaimable: true, ShutdownIn: 5, StartedAt: 6, Sequence: 7, ColdFor: 8},
 		"limit":      wireLimit{StartedAt: 1, Limited: true, PerSecond: 1.5},
--- a/relay/exchanger/crashes.go
+++ b/relay/exchanger/crashes.go
@@ -9,23 +9,29 @@
 	"github.com/juju/errors"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/decide/blamer"
 	"sequoiasill.dev/sequoiasill/decide/gossiper"
 	"sequoiasill.dev/sequoiasill/decide/partblamer"
 	"sequoiasill.dev/sequoiasill/relay/screener"
 )
 
-// Key prefixes of facts about parts of prompts that crash upstreams.
-const (
-	keyCrashes  = "crashes/"  // + entry: its crash report, sent to collectors only
-	keySuspects = "suspects/" // + collector: the parts that it suspects
-	keyPart     = "part/"     // + signature: its quarantine, empty once it was lifted
+// crashKeys are the key prefixes of facts about parts of prompts, or about requests, that crash upstreams.
+type crashKeys struct {
+	crashes     string // + entry: its crash report, sent to collectors only
+	suspects    string // + collector: what it suspects
+	quarantines string // + signature: its quarantine, or the end of it
+}
+
+var (
+	partKeys    = crashKeys{crashes: "crashes/", suspects: "suspects/", quarantines: "part/"}
+	requestKeys = crashKeys{crashes: "requestCrashes/", suspects: "requestSuspects/", quarantines: "request/"}
 )
 
 // partTTL is how long facts about quarantined parts are gossiped. It exceeds the duration of a
 // quarantine.
 const partTTL = 20 * sequoiasill.Minute
 
-// Screener holds this entry's crashes under parts of prompts and the quarantined parts, and
+// Screener holds this entry's crashes under parts of prompts, or under requests, and what is quarantined, and
 // receives those of other entries.
 type Screener interface {
 	// Changed receives a value when Exchange should be called.
@@ -66,28 +72,34 @@
 	RemainingMillis int64    `cbor:"4,keyasint,omitempty"`
 }
 
+// exchangeAllCrashes exchanges crashes under parts of prompts and under requests.
+func (e *Exchanger) exchangeAllCrashes() {
+	e.exchangeCrashes(e.screener, partKeys)
+	e.exchangeCrashes(e.requests, requestKeys)
+}
+
 // exchangeCrashes tells the collectors of crashes under calls of this entry, and all entries of
-// suspected and quarantined parts.
-func (e *Exchanger) exchangeCrashes() {
+// what is suspected and quarantined.
+func (e *Exchanger) exchangeCrashes(screen Screener, keys crashKeys) {
 	e.crashesMu.Lock()
 	defer e.crashesMu.Unlock()
-	if e.screener.Idle() {
+	if screen.Idle() {
 		return
 	}
 	collectors := e.collectors()
-	out := e.screener.Exchange(slices.Index(collectors, e.opts.Name))
+	out := screen.Exchange(slices.Index(collectors, e.opts.Name))
 	now := e.clock.Now()
 	if out.ReportDue {
 		if b, ok := encodeFact(e, toWireReport(e.processID(), out.Report, now)); ok {
-			e.gossip.SendDirect(collectors, keyCrashes+e.opts.Name, uint64(now), b)
+			e.gossip.SendDirect(collectors, keys.crashes+e.opts.Name, uint64(now), b)
 		}
 	}
 	for _, c := range out.Changes {
 		if c.Signature == nil {
-			e.publishNewer(keySuspects+e.opts.Name, fromParts(c.Suspects))
+			e.publishNewer(keys.suspects+e.opts.Name, fromParts(c.Suspects))
 			continue
 		}
-		e.publishNewer(keyPart+c.Signature.String(), wireQuarantine{
+		e.publishNewer(keys.quarantines+c.Signature.String(), wireQuarantine{
 			Parts: fromParts(c.Signature), Lifted: !c.Quarantined, AgeMillis: int64(now - c.Since), RemainingMillis: int64(c.Until - now),
 		})
 	}
@@ -124,32 +136,32 @@
 }
 
 // handleCrashes merges the crash report of another entry. Older builds do not name their process.
-func (e *Exchanger) handleCrashes(entry string, f gossiper.Fact) {
+func (e *Exchanger) handleCrashes(screen Screener, entry string, f gossiper.Fact) {
 	if r, ok := decodeFact[wireCrashReport](e, f); ok {
-		e.screener.Merge(cmp.Or(r.Process, entry), fromWireReport(r, e.clock.Now()))
+		screen.Merge(cmp.Or(r.Process, entry), fromWireReport(r, e.clock.Now()))
 	}
 }
 
-// handleSuspects handles the list of the parts that a collector suspects.
-func (e *Exchanger) handleSuspects(collector string, f gossiper.Fact) {
+// handleSuspects handles the list of what a collector suspects.
+func (e *Exchanger) handleSuspects(screen Screener, collector string, f gossiper.Fact) {
 	if parts, ok := decodeFact[[]uint64](e, f); ok {
-		e.screener.SetSuspects(collector, toParts(parts))
+		screen.SetSuspects(collector, toParts(parts))
 	}
 }
 
-// handlePart handles a quarantine or its end.
-func (e *Exchanger) handlePart(f gossiper.Fact) {
+// handleSignature handles a quarantine or its end.
+func (e *Exchanger) handleSignature(screen Screener, f gossiper.Fact) {
 	w, ok := decodeFact[wireQuarantine](e, f)
 	if !ok {
 		return
 	}
 	signature := partblamer.Signature(toParts(w.Parts))
 	if w.Lifted {
-		e.screener.Lift(signature)
+		screen.Lift(signature)
 		return
 	}
 	publishedAt := f.Expires - partTTL
-	e.screener.Quarantine(signature, publishedAt-sequoiasill.Millis(w.AgeMillis), publishedAt+sequoiasill.Millis(w.RemainingMillis))
+	screen.Quarantine(signature, publishedAt-sequoiasill.Millis(w.AgeMillis), publishedAt+sequoiasill.Millis(w.RemainingMillis))
 }
 
 // decodeFact decodes the value of a fact and logs a failure.
@@ -202,19 +214,37 @@
 	return out
 }
 
-// handlePartFact dispatches a fact about parts of prompts. It reports whether it was one.
-func (e *Exchanger) handlePartFact(f gossiper.Fact) bool {
-	if entry, ok := strings.CutPrefix(f.Key, keyCrashes); ok {
-		e.handleCrashes(entry, f)
+// handleCrashFact dispatches a fact about parts of prompts or about requests. It reports whether it was one.
+func (e *Exchanger) handleCrashFact(f gossiper.Fact) bool {
+	return e.handleFactOf(e.screener, partKeys, f) || e.handleFactOf(e.requests, requestKeys, f)
+}
+
+func (e *Exchanger) handleFactOf(screen Screener, keys crashKeys, f gossiper.Fact) bool {
+	if entry, ok := strings.CutPrefix(f.Key, keys.crashes); ok {
+		e.handleCrashes(screen, entry, f)
 		return true
 	}
-	if collector, ok := strings.CutPrefix(f.Key, keySuspects); ok {
-		e.handleSuspects(collector, f)
+	if collector, ok := strings.CutPrefix(f.Key, keys.suspects); ok {
+		e.handleSuspects(screen, collector, f)
 		return true
 	}
-	if strings.HasPrefix(f.Key, keyPart) {
-		e.handlePart(f)
+	if strings.HasPrefix(f.Key, keys.quarantines) {
+		e.handleSignature(screen, f)
 		return true
 	}
 	return false
 }
+
+// mergeOlderCharges merges the charges of a process of a build that does not report crashes under requests.
+func (e *Exchanger) mergeOlderCharges(process string, charges []blamer.Charge) {
+	for fp, until := range e.calls.MergeCharges(process, charges) {
+		e.AnnounceQuarantine(fp, until)
+	}
+	var r partblamer.Report
+	for _, c := range charges {
+		r.Crashes = append(r.Crashes, partblamer.Crash{
+			Request: uint64(c.Fingerprint), Upstream: c.Upstream, At: c.At, Parts: partblamer.RequestPart(uint64(c.Fingerprint)),
+		})
+	}
+	e.requests.Merge(process, r)
+}
--- a/relay/exchanger/crashes_test.go
+++ b/relay/exchanger/crashes_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"sequoiasill.dev/sequoiasill"
-	"sequoiasill.dev/sequoiasill/decide/blamer"
+	"github.com/google/go-cmp/cmp"
+
 	"sequoiasill.dev/sequoiasill/decide/partblamer"
 )
 
@@ -23,6 +23,40 @@
 	return n
 }
 
+// crashUnder returns the crash of an upstream under a request.
+func crashUnder(request, upstream uint64) partblamer.Crash {
+	return partblamer.Crash{Request: request, Upstream: upstream, Parts: partblamer.RequestPart(request)}
+}
+
+// Guards against BUDGET without refusing others: a request that crashes upstreams after the first event of its
+// response is refused by all entries, but not the requests that are in progress there and served elsewhere.
+func TestRequestInProgressAtCrashesIsNotQuarantined(t *testing.T) {
+	const poison, popular, long = 7, 8, 9
+	entries := cluster(t, 5)
+	for upstream := range uint64(4) {
+		first, second := entries[upstream], entries[(upstream+1)%5]
+		// Calls with the popular request end everywhere, and are told first.
+		for _, e := range entries {
+			e.requests.RecordCrash(crashUnder(popular, upstream))
+		}
+		second.requests.RecordCrash(crashUnder(long, upstream))
+		second.requests.RecordCrash(crashUnder(long, upstream))
+		time.Sleep(50 * time.Millisecond)
+		first.requests.RecordCrash(crashUnder(poison, upstream))
+		entries[(upstream+2)%5].requests.RecordServed(partblamer.RequestPart(popular))
+		time.Sleep(250 * time.Millisecond)
+	}
+	for _, e := range entries {
+		await(t, "refused", []partblamer.Signature{{poison}}, e.requests.Quarantined)
+	}
+	time.Sleep(2 * time.Second)
+	for _, e := range entries {
+		if diff := cmp.Diff([]partblamer.Signature{{poison}}, e.requests.Quarantined()); diff != "" {
+			t.Errorf("refused later (-want +got):\n%s", diff)
+		}
+	}
+}
+
 // When upstreams crash under a part at several entries, all entries must refuse calls with it,
 // but not those with a part that is served at another entry.
 func TestDeadlyPartIsQuarantinedByAll(t *testing.T) {
@@ -45,7 +79,7 @@
 // Guards against BUDGET: crashes that an entry told the collectors were forgotten when its next process
 // told of others.
 func TestCrashesOutliveTheirProcess(t *testing.T) {
-	request := blamer.Fingerprint(5)
+	const request = 5
 	tests := map[string]struct {
 		record  func(e *entry, upstream uint64)
 		refused func(e *entry) bool
@@ -57,16 +91,10 @@
 			refused: func(e *entry) bool { return refusals([]*entry{e}, deadly) > 0 },
 		},
 		"of a request": {
-			record: func(e *entry, upstream uint64) {
-				e.mu.Lock()
-				defer e.mu.Unlock()
-				e.blamer.RecordCrash(sequoiasill.NewSystemClock().Now(), request, upstream)
-			},
+			record: func(e *entry, upstream uint64) { e.requests.RecordCrash(crashUnder(request, upstream)) },
 			refused: func(e *entry) bool {
-				e.mu.Lock()
-				defer e.mu.Unlock()
-				_, refused := e.blamer.Refused(sequoiasill.NewSystemClock().Now(), request)
-				return refused
+				d, _ := e.requests.Screen(partblamer.RequestPart(request))
+				return d.Refused
 			},
 		},
 	}
--- a/relay/exchanger/demand.go
+++ b/relay/exchanger/demand.go
@@ -31,7 +31,7 @@
 	charges := e.calls.Charges()
 	e.mu.Lock()
 	e.tallier.DeleteExpired(now)
-	b, err := encodeState(State{Process: e.processID(), Demand: demand, Tally: e.tallier.Own(), Charges: charges}, now)
+	b, err := encodeState(State{Process: e.processID(), Demand: demand, Tally: e.tallier.Own(), Charges: charges, ReportsCrashes: true}, now)
 	e.stateVersion++
 	version := e.stateVersion
 	e.recentDemands = append(e.recentDemands, demand)
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -151,6 +151,7 @@
 	Calls    Calls
 	Moves    Moves
 	Screener Screener
+	Requests Screener // of whole requests
 	// Evacuations may be nil.
 	Evacuations Evacuations
 }
@@ -179,6 +180,7 @@
 	origin      Origin
 	moves       Moves
 	screener    Screener
+	requests    Screener
 	evacuations Evacuations // nil if they are not used
 	clock       sequoiasill.Clock
 	bootClock   sequoiasill.Clock // advances while the instance is suspended
@@ -241,7 +243,7 @@
 		opts.MinReportInterval = defaultReportInterval
 	}
 	e := &Exchanger{
-		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, screener: h.Screener, evacuations: h.Evacuations, clock: clock, log: log.Named("exchanger"),
+		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, screener: h.Screener, requests: h.Requests, evacuations: h.Evacuations, clock: clock, log: log.Named("exchanger"),
 		client: &http.Client{Timeout: pullTimeout}, wake: make(chan struct{}, 1), reported: make(chan struct{}, 1), summed: make(chan struct{}, 1), stop: make(chan struct{}),
 		startedAt: clock.Now(), bootClock: boot, limits: newLimits(opts.Name, opts.Name+"/"+opts.Session, boot.Now(), seed),
 		tallier: t, demands: make(map[string]receivedDemand), sums: make(map[string]receivedDemand), spent: make(map[string]float64),
@@ -296,7 +298,8 @@
 func (e *Exchanger) Leave() {
 	e.reportState()
 	e.screener.Flush()
-	e.exchangeCrashes()
+	e.requests.Flush()
+	e.exchangeAllCrashes()
 	e.gossip.Leave()
 }
 
@@ -329,9 +332,11 @@
 		case <-limitCheck.C:
 			e.checkLimits()
 			e.renewUnreachable()
-			e.exchangeCrashes()
+			e.exchangeAllCrashes()
 		case <-e.screener.Changed():
-			e.exchangeCrashes()
+			e.exchangeCrashes(e.screener, partKeys)
+		case <-e.requests.Changed():
+			e.exchangeCrashes(e.requests, requestKeys)
 		}
 	}
 }
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -48,6 +48,7 @@
 	label       string
 	address     string
 	screener    *screener.Screener
+	requests    *screener.Screener
 	evacuations []zonetracker.Fact
 	limits      map[throttler.Upstream]registrar.KnownLimit
 	toldAt      map[throttler.Upstream]sequoiasill.Millis // when a response announced the limit here
@@ -216,10 +217,11 @@
 		label: name, address: l.Addr().String(), replicas: make(map[string]string), demand: map[string]float64{"small": float64(10 * (number + 1))}, spent: 7,
 		blamer: blamer.New(blamer.DefaultOptions()), facts: make(map[string]string), limits: make(map[throttler.Upstream]registrar.KnownLimit), toldAt: make(map[throttler.Upstream]sequoiasill.Millis),
 		screener: screener.New(partblamer.New(partblamer.DefaultOptions()), clock, meter.New(), hclog.NewNullLogger()),
+		requests: screener.NewOfRequests(partblamer.New(partblamer.RequestOptions()), clock, meter.New(), hclog.NewNullLogger()),
 	}
 	opts := exchanger.Options{Name: name, Session: session, Zone: "a", Address: e.address, Seeds: seeds, MinEntries: 1, MinReportInterval: interval}
 	tl := tallier.New(name+"/"+session, 5*sequoiasill.Second, 4)
-	e.Exchanger = exchanger.New(opts, conn, l, tl, exchanger.Handlers{Configs: e, Origin: e, Replicas: e, Calls: e, Moves: e, Screener: e.screener, Evacuations: e}, clock, clock, uint64(number+1), hclog.NewNullLogger())
+	e.Exchanger = exchanger.New(opts, conn, l, tl, exchanger.Handlers{Configs: e, Origin: e, Replicas: e, Calls: e, Moves: e, Screener: e.screener, Requests: e.requests, Evacuations: e}, clock, clock, uint64(number+1), hclog.NewNullLogger())
 	t.Cleanup(e.Close)
 	return e
 }
@@ -458,16 +460,29 @@
 func TestQuarantineReachesAll(t *testing.T) {
 	entries := cluster(t, 5)
 	for i, e := range entries[2:] {
-		e.mu.Lock()
-		e.blamer.RecordCrash(sequoiasill.NewSystemClock().Now(), 7, uint64(i))
-		e.mu.Unlock()
+		e.requests.RecordCrash(crashUnder(7, uint64(i)))
+		time.Sleep(200 * time.Millisecond)
 	}
 	for _, e := range entries {
-		await(t, "refused", []blamer.Fingerprint{7}, func() []blamer.Fingerprint {
-			e.mu.Lock()
-			defer e.mu.Unlock()
-			return e.blamer.Suspects()
-		})
+		await(t, "refused", []partblamer.Signature{{7}}, e.requests.Quarantined)
+	}
+}
+
+// Charges of an entry of an older build count with the crashes that others report.
+func TestChargesOfOlderBuildsCount(t *testing.T) {
+	entries := cluster(t, 4)
+	older := exchanger.State{Process: "old/1", Charges: []blamer.Charge{{Fingerprint: 7, Upstream: 1, At: sequoiasill.NewSystemClock().Now() - sequoiasill.Second}}}
+	for i, e := range entries[2:] {
+		e.requests.RecordCrash(crashUnder(7, uint64(i+2)))
+		time.Sleep(200 * time.Millisecond)
+	}
+	for _, e := range entries {
+		if err := e.HandleState("old", older); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, e := range entries {
+		await(t, "refused", []partblamer.Signature{{7}}, e.requests.Quarantined)
 	}
 }
 
--- a/relay/exchanger/facts.go
+++ b/relay/exchanger/facts.go
@@ -98,7 +98,7 @@
 		e.handleCensus(f)
 	case strings.HasPrefix(f.Key, keyEvacuation):
 		e.handleEvacuation(strings.TrimPrefix(f.Key, keyEvacuation), f)
-	case e.handlePartFact(f):
+	case e.handleCrashFact(f):
 	case f.Key != keyHolder && f.Key != keyUsage && !strings.HasPrefix(f.Key, keyUnavailable) && !strings.HasPrefix(f.Key, keyUnreachable):
 		e.moves.HandleFact(f)
 	}
@@ -135,8 +135,8 @@
 		e.log.Warn("fact cannot be read", "key", f.Key, "error", err)
 		return
 	}
-	for fp, until := range e.calls.MergeCharges(s.Process, s.Charges) {
-		e.AnnounceQuarantine(fp, until)
+	if !s.ReportsCrashes {
+		e.mergeOlderCharges(s.Process, s.Charges)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/relay/meter/meter.go
+++ b/relay/meter/meter.go
@@ -134,6 +134,11 @@
 	m.count(fmt.Sprintf(`sequoia_part_quarantines_total{lifted="%t",source=%q}`, lifted, source))
 }
 
+// RequestQuarantined counts a quarantine of a request that starts or is lifted, by whom it was decided.
+func (m *Meter) RequestQuarantined(lifted bool, source string) {
+	m.count(fmt.Sprintf(`sequoia_request_quarantines_total{lifted="%t",source=%q}`, lifted, source))
+}
+
 // PathChanged counts a change of the paths to a service, by the state that it enters.
 func (m *Meter) PathChanged(state string) {
 	m.count(fmt.Sprintf(`sequoia_path_changes_total{state=%q}`, state))
--- a/relay/screener/screener.go
+++ b/relay/screener/screener.go
@@ -1,8 +1,9 @@
-// Package screener keeps calls from upstreams that a part of their prompt would crash. It makes
-// the state machine of package partblamer safe for concurrent use and logs its decisions.
+// Package screener keeps calls from upstreams that a part of their prompt, or the request as a whole, would
+// crash. It makes the state machine of package partblamer safe for concurrent use and logs its decisions.
 package screener
 
 import (
+	"cmp"
 	"sync"
 
 	"github.com/hashicorp/go-hclog"
@@ -16,22 +17,46 @@
 	// PartQuarantined counts a quarantine of a part that starts or is lifted, and by whom it was
 	// decided.
 	PartQuarantined(lifted bool, source string)
+	// RequestQuarantined counts the same of a request.
+	RequestQuarantined(lifted bool, source string)
 }
 
+// subject is what is quarantined, as logs and metrics name it.
+type subject struct {
+	crashes, lifted string // messages
+	key             string // of the signature in log lines
+	count           func(m Meter, lifted bool, source string)
+}
+
+var (
+	parts    = subject{crashes: "part of prompts crashes upstreams", lifted: "quarantine of a part lifted", key: "parts", count: Meter.PartQuarantined}
+	requests = subject{crashes: "request crashes upstreams", lifted: "quarantine of a request lifted", key: "fingerprint", count: Meter.RequestQuarantined}
+)
+
 // Screener screens calls. It is safe for concurrent use.
 type Screener struct {
 	clock   sequoiasill.Clock
 	meter   Meter
 	log     hclog.Logger
+	subject subject
 	changed chan struct{}
 
 	mu     sync.Mutex
 	blamer *partblamer.Blamer
 }
 
-// New returns a screener that decides with b.
+// New returns a screener of parts of prompts that decides with b.
 func New(b *partblamer.Blamer, clock sequoiasill.Clock, meter Meter, log hclog.Logger) *Screener {
-	return &Screener{clock: clock, meter: meter, log: log.Named("screener"), changed: make(chan struct{}, 1), blamer: b}
+	return newScreener(b, parts, clock, meter, log)
+}
+
+// NewOfRequests returns a screener of whole requests that decides with b.
+func NewOfRequests(b *partblamer.Blamer, clock sequoiasill.Clock, meter Meter, log hclog.Logger) *Screener {
+	return newScreener(b, requests, clock, meter, log)
+}
+
+func newScreener(b *partblamer.Blamer, s subject, clock sequoiasill.Clock, meter Meter, log hclog.Logger) *Screener {
+	return &Screener{clock: clock, meter: meter, log: log.Named("screener"), subject: s, changed: make(chan struct{}, 1), blamer: b}
 }
 
 // Changed receives a value when Exchange should be called.
@@ -65,14 +90,13 @@
 	return d, max(d.NextProbe-now, 0)
 }
 
-// RecordCrash records that an upstream crashed under a call before it began to respond. It sets
-// the time of the crash.
+// RecordCrash records that an upstream crashed under a call, now unless the crash has a time.
 func (s *Screener) RecordCrash(c partblamer.Crash) {
 	if len(c.Parts) == 0 {
 		return
 	}
 	s.update(func(b *partblamer.Blamer, now sequoiasill.Millis) {
-		c.At = now
+		c.At = cmp.Or(c.At, now)
 		b.RecordCrash(now, c)
 	})
 }
@@ -91,6 +115,13 @@
 	}
 }
 
+// RecordAlive records that an upstream incarnation responds, to a call that was sent at a time.
+func (s *Screener) RecordAlive(upstream uint64, sentAt sequoiasill.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.blamer.RecordAlive(upstream, sentAt)
+}
+
 // SetSuspects sets the parts that a collector suspects.
 func (s *Screener) SetSuspects(collector string, parts []partblamer.Part) {
 	s.update(func(b *partblamer.Blamer, now sequoiasill.Millis) { b.SetSuspects(now, collector, parts) })
@@ -122,12 +153,12 @@
 }
 
 func (s *Screener) logQuarantine(signature partblamer.Signature, lifted bool, source string) {
-	s.meter.PartQuarantined(lifted, source)
+	s.subject.count(s.meter, lifted, source)
 	if lifted {
-		s.log.Info("quarantine of a part lifted", "parts", signature.String(), "source", source)
+		s.log.Info(s.subject.lifted, s.subject.key, signature.String(), "source", source)
 		return
 	}
-	s.log.Warn("part of prompts crashes upstreams", "parts", signature.String(), "source", source)
+	s.log.Warn(s.subject.crashes, s.subject.key, signature.String(), "source", source)
 }
 
 // Quarantined returns the quarantined signatures, sorted.
