Deputies watch the store while all of its watchers are silent

Cause: an entry that is no watcher makes no call until the failure detector has removed the watchers, 4.5 to 5.5 s, and takes silence for calm. Ruled out: changes that get lost in the store or in gossip.

Now the entries that are next to watch notice within 0.9 s that no watcher is heard, and watch in their place; a watch whose answer is 0.4 s late makes its entry say so, so that another one watches. Only they ask the store, whatever the number of entries.

Tests: TestDeputiesWatchWhileAllWatchersAreSilent, TestWatcherWithOverdueWatchIsReplaced, TestOverdueWatchIsReported; before, nobody else watched, and nothing was said until a watch was given up 1 s after its end.

--- a/decide/gossiper/dissemination.go
+++ b/decide/gossiper/dissemination.go
@@ -21,6 +21,9 @@
 		return
 	}
 	g.mergeMember(now, m.Sender)
+	if p, ok := g.members[m.Sender.Name]; ok {
+		p.heardAt = now
+	}
 	g.notifySuspect(m.Sender)
 	for _, member := range m.Members {
 		g.mergeMember(now, member)
@@ -117,10 +120,14 @@
 
 func (g *Gossiper) setMember(now sequoiasill.Millis, m Member) {
 	old, known := g.members[m.Name]
-	g.members[m.Name] = &peer{member: m, stateSince: now}
-	if known && old.member.State == m.State {
-		g.members[m.Name].stateSince = old.stateSince
+	next := &peer{member: m, stateSince: now}
+	if known {
+		next.heardAt = old.heardAt
+		if old.member.State == m.State {
+			next.stateSince = old.stateSince
+		}
 	}
+	g.members[m.Name] = next
 	g.enqueue(m.Name, &update{member: m.Name})
 	if !known || old.member != m {
 		g.actions = append(g.actions, MemberChanged{Member: m})
--- a/relay/exchanger/config.go
+++ b/relay/exchanger/config.go
@@ -82,12 +82,12 @@
 func (e *Exchanger) pull() {
 	_, current := e.configs.Current()
 	e.mu.Lock()
-	target, announcer, unavailable := e.targetVersion, e.targetAddress, e.storeUnavailable
+	target, announcer := e.targetVersion, e.targetAddress
 	e.mu.Unlock()
 	if current >= target {
 		return
 	}
-	if !unavailable && e.pullFromOrigin(target) {
+	if !e.isAway() && e.pullFromOrigin(target) {
 		return
 	}
 	for _, address := range e.pullAddresses(announcer) {
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -196,15 +196,14 @@
 	stop        chan struct{}
 	once        sync.Once
 
-	mu               sync.Mutex
-	tallier          *tallier.Tallier
-	demands          map[string]receivedDemand // on a collector, by entry
-	sums             map[string]receivedDemand // totals, by collector
-	targetVersion    uint64                    // newest announced configuration version
-	targetAddress    string                    // address of the entry that announced it
-	stateVersion     uint64                    // version of the last state sent
-	recentDemands    []Demand                  // own demand in the last reports, oldest first
-	storeUnavailable bool                      // the store is unavailable to this entry
+	mu            sync.Mutex
+	tallier       *tallier.Tallier
+	demands       map[string]receivedDemand // on a collector, by entry
+	sums          map[string]receivedDemand // totals, by collector
+	targetVersion uint64                    // newest announced configuration version
+	targetAddress string                    // address of the entry that announced it
+	stateVersion  uint64                    // version of the last state sent
+	recentDemands []Demand                  // own demand in the last reports, oldest first
 
 	spent      map[string]float64 // by all entries that report to this collector, per organisation
 	ownSpent   map[string]float64 // part of it that this entry spent
@@ -212,6 +211,12 @@
 
 	surgeCheckedAt sequoiasill.Millis // when this collector last checked for a surge
 
+	awayMu           sync.Mutex      // held while changes are published, so that their order stays
+	storeUnavailable bool            // the store is unavailable to this entry
+	overdueWatches   map[string]bool // kinds of which the store owes this entry the answer to a watch
+
+	deputy deputy // used by the goroutine of checkWatchers, except for active
+
 	unreachableMu sync.Mutex
 	unreachable   []string // services whose upstreams this entry does not reach
 
@@ -246,7 +251,7 @@
 		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, screener: h.Screener, requests: h.Requests, evacuations: h.Evacuations, clock: clock, log: log.Named("exchanger"),
 		client: &http.Client{Timeout: pullTimeout}, wake: make(chan struct{}, 1), reported: make(chan struct{}, 1), summed: make(chan struct{}, 1), stop: make(chan struct{}),
 		startedAt: clock.Now(), bootClock: boot, limits: newLimits(opts.Name, opts.Name+"/"+opts.Session, boot.Now(), seed),
-		tallier: t, demands: make(map[string]receivedDemand), sums: make(map[string]receivedDemand), spent: make(map[string]float64),
+		tallier: t, demands: make(map[string]receivedDemand), sums: make(map[string]receivedDemand), overdueWatches: make(map[string]bool), spent: make(map[string]float64),
 	}
 	self := gossiper.Member{
 		Name: opts.Name, Address: opts.Address, Zone: opts.Zone, Incarnation: uint64(clock.Now()), Session: uint64(clock.Now()),
@@ -264,6 +269,18 @@
 		}
 	}()
 	go e.loop()
+	go func() {
+		tick := time.NewTicker(watcherCheckInterval)
+		defer tick.Stop()
+		for {
+			select {
+			case <-e.stop:
+				return
+			case <-tick.C:
+				e.checkWatchers()
+			}
+		}
+	}()
 	return e
 }
 
--- a/relay/exchanger/roster.go
+++ b/relay/exchanger/roster.go
@@ -10,31 +10,64 @@
 
 // SetStoreUnavailable publishes whether the store is unavailable to this entry.
 func (e *Exchanger) SetStoreUnavailable(unavailable bool) {
-	e.mu.Lock()
-	changed := e.storeUnavailable != unavailable
-	e.storeUnavailable = unavailable
-	e.mu.Unlock()
-	if !changed {
+	e.updateAway(func() { e.storeUnavailable = unavailable })
+}
+
+// SetWatchOverdue publishes whether the store owes this entry the answer to a watch of a kind, so that other
+// entries watch in its place.
+func (e *Exchanger) SetWatchOverdue(kind string, overdue bool) {
+	e.updateAway(func() {
+		if overdue {
+			e.overdueWatches[kind] = true
+		} else {
+			delete(e.overdueWatches, kind)
+		}
+	})
+}
+
+// updateAway changes what this entry knows of the store, and publishes whether it hears from the store if that
+// changed.
+func (e *Exchanger) updateAway(change func()) {
+	e.awayMu.Lock()
+	defer e.awayMu.Unlock()
+	before := e.isAwayLocked()
+	change()
+	away := e.isAwayLocked()
+	if away == before {
 		return
 	}
 	value := []byte{}
-	if unavailable {
+	if away {
 		value = []byte{1}
 	}
 	key := keyUnavailable + e.opts.Name
 	e.gossip.Publish(key, e.newerVersion(key), value, true, unavailableTTL)
 }
 
+// isAway reports whether this entry does not hear from the store.
+func (e *Exchanger) isAway() bool {
+	e.awayMu.Lock()
+	defer e.awayMu.Unlock()
+	return e.isAwayLocked()
+}
+
+func (e *Exchanger) isAwayLocked() bool { return e.storeUnavailable || len(e.overdueWatches) > 0 }
+
 // WatchPosition returns this entry's position among the entries that watch the store on behalf
 // of all, or -1 if it is not one of them, and their number. The watchers are the first of each
 // zone in rendezvous hashing order and the first extraWatchers of the rest, without entries to
-// which the store is unavailable.
+// which the store is unavailable. Their deputies, chosen in the same way from the others, watch while all
+// watchers are silent.
 func (e *Exchanger) WatchPosition() (place, total int) {
-	names := e.watchers()
-	return slices.Index(names, e.opts.Name), len(names)
+	watchers, deputies := e.watchers()
+	if e.deputy.active.Load() && !slices.Contains(watchers, e.opts.Name) {
+		watchers = deputies
+	}
+	return slices.Index(watchers, e.opts.Name), len(watchers)
 }
 
-func (e *Exchanger) watchers() []string {
+// watchers returns the names of the watchers and of their deputies.
+func (e *Exchanger) watchers() (watchers, deputies []string) {
 	var eligible, remaining []gossiper.Member
 	for _, m := range e.gossip.Members() {
 		if m.Leaving {
@@ -52,21 +85,29 @@
 	sort.Slice(eligible, func(i, j int) bool {
 		return picker.Rendezvous(keyConfig, 0, eligible[i].Name) > picker.Rendezvous(keyConfig, 0, eligible[j].Name)
 	})
-	var out []string
+	watchers, others := chooseWatchers(eligible)
+	deputies, _ = chooseWatchers(others)
+	return watchers, deputies
+}
+
+// chooseWatchers returns the names of the first member of each zone and of the first extraWatchers of the
+// rest, and the members that were not chosen.
+func chooseWatchers(members []gossiper.Member) (chosen []string, others []gossiper.Member) {
 	zones := make(map[string]bool)
 	extra := extraWatchers
-	for _, m := range eligible {
+	for _, m := range members {
 		switch {
 		case !zones[m.Zone]:
 			zones[m.Zone] = true
 		case extra > 0:
 			extra--
 		default:
+			others = append(others, m)
 			continue
 		}
-		out = append(out, m.Name)
+		chosen = append(chosen, m.Name)
 	}
-	return out
+	return chosen, others
 }
 
 // Rank returns this entry's position among the collectors, or -1 if it is not one.
