Requests that crash upstreams are kept in the store

Cause: charges and refusals were only in memory and in gossip. Ruled out: a refusal that ends by itself, and one that is stored but not read.

Now the first collector stores the quarantined requests and the crashes of those that are suspected, in an object of their own, and each collector reads it. A quarantine goes on with the times of its tests. Single crashes are not stored, and calm time costs one read more at each of three entries.

--- a/control/quarantinekeeper/quarantinekeeper.go
+++ b/control/quarantinekeeper/quarantinekeeper.go
@@ -1,11 +1,9 @@
-// Package quarantinekeeper keeps the quarantined parts of prompts in the store, so that they are
+// Package quarantinekeeper keeps the quarantined parts of prompts and requests in the store, so that they are
 // not sent to upstreams again after all entries were restarted at the same time.
 package quarantinekeeper
 
 import (
-	"encoding/json"
-	"slices"
-	"strconv"
+	"bytes"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -13,12 +11,8 @@
 
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/control/leaseholder"
-	"sequoiasill.dev/sequoiasill/decide/partblamer"
 )
 
-// recordName is the name of the object with the quarantined parts.
-const recordName = "quarantines"
-
 const (
 	// checkInterval is the interval at which the quarantines are compared with the stored ones.
 	checkInterval = 250 * time.Millisecond
@@ -26,44 +20,42 @@
 	retryDelay = sequoiasill.Second
 )
 
-// Quarantines are the quarantines that an entry knows.
-type Quarantines interface {
-	Quarantined() []partblamer.Signature
-	// Restore quarantines stored signatures at all entries, unless a call of this process has
-	// disproved them.
-	Restore(stored []partblamer.Signature)
+// Record is the content of one object in the store.
+type Record interface {
+	// Name returns the name of the object.
+	Name() string
+	// Encode returns the current content, and whether there is nothing to store.
+	Encode() (value []byte, empty bool, err error)
+	// Restore takes over stored content at all entries, unless calls of this process have disproved it. It
+	// returns what it took over, for the log.
+	Restore(value []byte) (count int, err error)
 }
 
 // Ranker returns the position of this entry among the collectors, negative if it is not one.
 type Ranker interface{ Rank() int }
 
-// record is the encoding of the stored signatures: lists of parts in hexadecimal.
-type record struct {
-	Parts [][]string `json:"parts"`
-}
-
-// Keeper loads the stored quarantines on each collector and stores changes on the first one.
+// Keeper loads a stored record on each collector and stores changes on the first one.
 type Keeper struct {
-	store       leaseholder.Store
-	quarantines Quarantines
-	ranker      Ranker
-	clock       sequoiasill.Clock
-	log         hclog.Logger
-	stop        chan struct{}
-	done        chan struct{}
+	store  leaseholder.Store
+	record Record
+	ranker Ranker
+	clock  sequoiasill.Clock
+	log    hclog.Logger
+	stop   chan struct{}
+	done   chan struct{}
 
 	startAt sequoiasill.Millis // time of the first step, or of the next one after a failure
 	loaded  bool
 	era     uint64 // of the store when the record was loaded
 	version uint64
-	stored  []partblamer.Signature
+	stored  []byte // nil if it is unknown
 }
 
 // New returns a Keeper that starts after a delay, in which the other entries are discovered, and
 // works until Close.
-func New(store leaseholder.Store, q Quarantines, ranker Ranker, delay sequoiasill.Millis, clock sequoiasill.Clock, log hclog.Logger) *Keeper {
+func New(store leaseholder.Store, r Record, ranker Ranker, delay sequoiasill.Millis, clock sequoiasill.Clock, log hclog.Logger) *Keeper {
 	k := &Keeper{
-		store: store, quarantines: q, ranker: ranker, clock: clock, log: log.Named("quarantines"), startAt: clock.Now() + delay,
+		store: store, record: r, ranker: ranker, clock: clock, log: log.Named("quarantines").With("record", r.Name()), startAt: clock.Now() + delay,
 		stop: make(chan struct{}), done: make(chan struct{}),
 	}
 	go func() {
@@ -122,73 +114,38 @@
 }
 
 func (k *Keeper) load() error {
-	value, version, err := k.store.Read(recordName)
+	value, version, err := k.store.Read(k.record.Name())
 	if err != nil {
 		return errors.Annotate(err, "read quarantines")
 	}
 	k.stored = nil
 	if version > 0 {
-		var r record
-		if err := json.Unmarshal(value, &r); err != nil {
+		count, err := k.record.Restore(value)
+		if err != nil {
 			k.log.Warn("stored quarantines cannot be read and will be replaced", "error", err)
 		}
-		k.stored = decode(r)
+		if count > 0 {
+			k.log.Info("stored quarantines loaded", "signatures", count, "version", version)
+		}
+		k.stored = value
 	}
 	k.loaded, k.version = true, version
-	if len(k.stored) > 0 {
-		k.log.Info("stored quarantines loaded", "signatures", len(k.stored), "version", version)
-		k.quarantines.Restore(k.stored)
-	}
 	return nil
 }
 
 func (k *Keeper) save() error {
-	current := k.quarantines.Quarantined()
-	if slices.EqualFunc(current, k.stored, slices.Equal[partblamer.Signature]) {
-		return nil
-	}
-	value, err := json.Marshal(encode(current))
+	value, empty, err := k.record.Encode()
 	if err != nil {
 		return errors.Annotate(err, "encode quarantines")
 	}
-	version, err := k.store.Write(recordName, value, k.version)
+	if bytes.Equal(value, k.stored) || empty && k.version == 0 {
+		return nil
+	}
+	version, err := k.store.Write(k.record.Name(), value, k.version)
 	if err != nil {
 		return errors.Annotate(err, "write quarantines")
 	}
-	k.version, k.stored = version, current
-	k.log.Info("quarantines stored", "signatures", len(current), "version", version)
+	k.version, k.stored = version, value
+	k.log.Info("quarantines stored", "bytes", len(value), "empty", empty, "version", version)
 	return nil
 }
-
-func encode(signatures []partblamer.Signature) record {
-	r := record{Parts: [][]string{}}
-	for _, s := range signatures {
-		var ids []string
-		for _, p := range s {
-			ids = append(ids, strconv.FormatUint(uint64(p), 16))
-		}
-		r.Parts = append(r.Parts, ids)
-	}
-	return r
-}
-
-// decode returns the signatures of a record. Those that cannot be read are left out.
-func decode(r record) []partblamer.Signature {
-	var out []partblamer.Signature
-	for _, ids := range r.Parts {
-		var s partblamer.Signature
-		for _, id := range ids {
-			p, err := strconv.ParseUint(id, 16, 64)
-			if err != nil {
-				s = nil
-				break
-			}
-			s = append(s, partblamer.Part(p))
-		}
-		if len(s) > 0 {
-			slices.Sort(s)
-			out = append(out, s)
-		}
-	}
-	return out
-}
--- a/control/quarantinekeeper/quarantinekeeper_test.go
+++ b/control/quarantinekeeper/quarantinekeeper_test.go
@@ -107,7 +107,7 @@
 
 func start(t *testing.T, s *fakeStore, e *entry) *quarantinekeeper.Keeper {
 	t.Helper()
-	return quarantinekeeper.New(s, e, e, 0, sequoiasill.NewSystemClock(), hclog.NewNullLogger())
+	return quarantinekeeper.New(s, quarantinekeeper.Parts{Quarantines: e}, e, 0, sequoiasill.NewSystemClock(), hclog.NewNullLogger())
 }
 
 func await[T any](t *testing.T, what string, want T, get func() T) {
--- a/relay/screener/screener.go
+++ b/relay/screener/screener.go
@@ -173,6 +173,18 @@
 	s.update(func(b *partblamer.Blamer, now sequoiasill.Millis) { b.Restore(now, stored) })
 }
 
+// State returns what must outlive the processes of all entries.
+func (s *Screener) State() partblamer.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.blamer.State(s.clock.Now())
+}
+
+// RestoreState continues with a stored state, except for requests that were served by calls of this process.
+func (s *Screener) RestoreState(stored partblamer.State) {
+	s.update(func(b *partblamer.Blamer, now sequoiasill.Millis) { b.RestoreState(now, stored) })
+}
+
 // Flush makes a report of all crashes due at once.
 func (s *Screener) Flush() {
 	s.mu.Lock()
