A call has its whole time limit

Callers saw: a call with a limit of 3 s got 504 up to a millisecond before its end.

Cause: the clock counts whole milliseconds, so that the timer of the limit was up to one short. It now runs one longer.

Test: TestCallHasItsWholeTimeLimit; before, 504 after 19.2 ms of 20.

--- a/relay/dispatcher/departure.go
+++ b/relay/dispatcher/departure.go
@@ -13,7 +13,8 @@
 // leaves. A caller whose sending side ended may still wait for the response. If its call runs only once
 // and has been passed on, the context then goes on, as a cancelled run gains nothing.
 func (d *Dispatcher) callContext(caller context.Context, j *job) (context.Context, context.CancelFunc) {
-	remaining := (j.deadline - d.clock.Now()).Duration()
+	// The clock counts whole milliseconds, and part of the one in which the call arrived had passed.
+	remaining := (j.deadline - d.clock.Now() + 1).Duration()
 	if j.route.Kind != sequoiasill.RunOnce {
 		return context.WithTimeout(caller, remaining)
 	}
--- a/relay/dispatcher/departure_test.go
+++ b/relay/dispatcher/departure_test.go
@@ -102,3 +102,22 @@
 		})
 	}
 }
+
+// Guards against LOST: a call ended up to a millisecond before its time limit was over, which counts as unanswered.
+func TestCallHasItsWholeTimeLimit(t *testing.T) {
+	const limit = 20 * sequoiasill.Millis(1)
+	clock := sequoiasill.NewSystemClock()
+	for range 40 {
+		d := newDispatcher(t, &fakeTransport{steps: []step{{hang: true}}}, &fakePeers{usageCounts: make(map[string]int)})
+		k := call("/once/x", "key")
+		k.ArrivedAt = clock.Now()
+		sent := time.Now()
+		k.Deadline = k.ArrivedAt + limit
+		var got reply
+		d.Serve(context.Background(), k, &got)
+		if took := time.Since(sent); got.Status != 504 || took < limit.Duration() {
+			t.Fatalf("status %d after %s, 504 after %s is wanted", got.Status, took, limit)
+		}
+		time.Sleep(300 * time.Microsecond)
+	}
+}
