Quarantine records share one codec of hexadecimal numbers

Cause: the record of requests brought toHex and fromHex, and the record of parts beside it kept its own calls of strconv for the same numbers; found by reading the change again. Behaviour and the stored form stay as they were.

TestReadsQuarantinesOfOtherBuilds, TestReadsRequestsOfOtherBuilds and the other tests of control/quarantinekeeper pass before and after; go vet and the linter find nothing in control.

Conclusion: one place says how numbers are written in these records.

--- a/control/quarantinekeeper/parts.go
+++ b/control/quarantinekeeper/parts.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"slices"
-	"strconv"
 
 	"github.com/juju/errors"
 
@@ -35,7 +34,7 @@
 	for _, s := range r.Quarantines.Quarantined() {
 		var ids []string
 		for _, p := range s {
-			ids = append(ids, strconv.FormatUint(uint64(p), 16))
+			ids = append(ids, toHex(uint64(p)))
 		}
 		w.Parts = append(w.Parts, ids)
 	}
@@ -53,7 +52,7 @@
 	for _, ids := range w.Parts {
 		var s partblamer.Signature
 		for _, id := range ids {
-			p, err := strconv.ParseUint(id, 16, 64)
+			p, err := fromHex(id)
 			if err != nil {
 				s = nil
 				break
