A response whose connection is reset during the upload is not complete

What callers saw: a replica answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: Linux reports the failure of a connection once, to the first call that asks. relay/connector writes bodies above 16 KiB beside the reading of the response. If the write got the ECONNRESET, the read returned what had arrived and then 0 bytes, as after an orderly end, and a response that ends with its connection was taken as whole. The check whether the upstream lives on (Outlived) does not help: it does.

Change: responsechecker.Conn remembers the failure that a write was told of and returns it from the read instead of io.EOF. If a write is still in progress at the end, the state of the TCP connection tells whether it has failed (the write returns at once and is awaited) or the other end has only ended its sending side. A reset that follows the other end's FIN gives the write EPIPE; what was sent before the FIN is complete, so that this is no failure. So it holds for each response on such a connection, however it is read, and no read waits for an upload.

Handled before, tests kept: entry/forwarder (it writes before it reads) for uploads of 0, 12 kB, 60 kB and 8 MB; platform/client (JSON that is cut does not decode).

--- a/cmd/internal/apiclient/apiclient.go
+++ b/cmd/internal/apiclient/apiclient.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"sequoiasill.dev/sequoiasill/relay/responsechecker"
 )
 
 // Client sends requests of one organisation. It is safe for concurrent use.
@@ -46,7 +48,11 @@
 			if err != nil {
 				return nil, err
 			}
-			return new(net.Dialer).DialContext(ctx, network, address)
+			conn, err := new(net.Dialer).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return responsechecker.NewConn(conn), nil
 		},
 	}}
 	return c
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/relay/responsechecker"
 )
 
 // Options configure a Connector.
@@ -87,6 +88,7 @@
 // conn is a connection to an upstream.
 type conn struct {
 	net       net.Conn
+	checked   *responsechecker.Conn // reads from and writes to net
 	bounded   *boundedReader
 	reader    *bufio.Reader // reads from bounded
 	idleAt    sequoiasill.Millis
@@ -305,20 +307,20 @@
 	head := encodeHead(r)
 	if len(r.Body) <= MaxInlineBody {
 		head = append(head, r.Body...)
-		n, err := k.net.Write(head)
+		n, err := k.checked.Write(head)
 		if err != nil {
 			x.abort()
 			return nil, &Error{Verdict: verdictOfWrite(n), Op: "write to " + r.Address, Err: err}
 		}
 		x.bodyWritten = true
 	} else {
-		n, err := k.net.Write(head)
+		n, err := k.checked.Write(head)
 		if err != nil {
 			x.abort()
 			return nil, &Error{Verdict: verdictOfWrite(n), Op: "write to " + r.Address, Err: err}
 		}
 		go func() {
-			_, err := k.net.Write(r.Body)
+			_, err := k.checked.Write(r.Body)
 			x.bodyDone <- err
 		}()
 	}
@@ -355,8 +357,9 @@
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
-	bounded := &boundedReader{source: n}
-	return &conn{net: n, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize)}, nil
+	checked := responsechecker.NewConn(n)
+	bounded := &boundedReader{source: checked}
+	return &conn{net: n, checked: checked, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferSize)}, nil
 }
 
 // maxProbeBytes limits the size of a probe's response.
