A response whose status is outside 100 to 599 is rejected

What callers saw: a replica in trouble sent an answer whose status was 000, and the client got it as an answer.

Cause: no reader of answers checks the status. relay/connector takes each status below 200 for an interim response, so that what followed a 000 was read as the answer. fasthttp takes 0 for "not set" and says 200 (entry/forwarder, calls and streams; platform/caller). platform/client takes what is below 300 for success, so that a 000 confirmed a write or an order. 600 and above was passed on (RFC 9110, 15: outside 100 to 599 is invalid).

Change: responsechecker.CheckHead says what a valid head is, from its bytes as they were received. The connector records the bytes of each head that it parses and checks them. HeadConn does the same for the clients of fasthttp, which write a request before they read its response: the read that would complete an invalid head fails. The error is that of a response that cannot be parsed, so that it is charged and retried as that is, and its connection is closed.

The other side, in the tables of standin/responder for each reader: interim responses one after the other (100, 103, 199), folded lines, a missing reason, 204 and 304 (relay/connector), trailers. exchanger takes only a 200 from other entries and is left as it is.

--- a/cmd/internal/apiclient/apiclient.go
+++ b/cmd/internal/apiclient/apiclient.go
@@ -103,7 +103,14 @@
 		req.Header.Set(k, v)
 	}
 	resp, err := c.client.Do(req)
-	return resp, errors.Trace(err)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := responsechecker.CheckResponse(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 func responseFrom(resp *http.Response) Response {
--- a/cmd/internal/apiclient/apiclient_test.go
+++ b/cmd/internal/apiclient/apiclient_test.go
@@ -35,3 +35,24 @@
 		}
 	}
 }
+
+// Guards against checks that take a response with an invalid head for a sound one.
+func TestHeads(t *testing.T) {
+	call := func(head string) error {
+		client := newClient(t, func(c *net.TCPConn, _ *http.Request) {
+			_, _ = io.WriteString(c, head+"Content-Length: 4\r\n\r\ngood")
+		})
+		_, err := client.Call(http.MethodPost, "/", nil, nil)
+		return err
+	}
+	for name, head := range responder.InvalidHeads() {
+		if call(head) == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+	for name, head := range responder.UnusualHeads() {
+		if err := call(head); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/entry/forwarder/broken_test.go
+++ b/entry/forwarder/broken_test.go
@@ -8,7 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/standin/responder"
 )
 
 // Guards against MIXED: a response without framing is not complete if its connection is reset, whatever is left of the upload.
@@ -33,3 +36,58 @@
 		}
 	}
 }
+
+// respondWith starts an upstream that writes a response to one request.
+func respondWith(t *testing.T, response string) (f *Forwarder, address string) {
+	t.Helper()
+	l := respondOnce(t, func(_ net.Listener, c net.Conn) {
+		_, _ = io.WriteString(c, response)
+		_, _ = c.Read(make([]byte, 1)) // until the entry closes the connection
+	})
+	return New(Options{DialTimeout: sequoiasill.Second, StallTimeout: sequoiasill.Second}), l.Addr().String()
+}
+
+// Guards against MIXED: what follows an invalid head, or the body that it frames, is not the upstream's response.
+func TestInvalidHeadIsRejected(t *testing.T) {
+	for name, head := range responder.InvalidHeads() {
+		response := head + StreamIDHeader + ": s\r\nContent-Length: 6\r\n\r\ndata:\n"
+		t.Run("call, "+name, func(t *testing.T) {
+			f, address := respondWith(t, response)
+			r, attemptErr := f.Do(Call{Address: address, Method: http.MethodGet, URI: "/", RequestID: "1", Timeout: sequoiasill.Second})
+			if attemptErr == nil {
+				t.Fatalf("status %d, body %q", r.Status, r.Body)
+			}
+			if !attemptErr.PossibleCrash() || attemptErr.Verdict != sequoiasill.MayHaveRun {
+				t.Errorf("error is %v, verdict %s", attemptErr, attemptErr.Verdict)
+			}
+		})
+		t.Run("stream, "+name, func(t *testing.T) {
+			f, address := respondWith(t, response)
+			s, attemptErr := f.Open(StreamRequest{Address: address, Method: http.MethodPost, URI: "/", StreamID: "s"})
+			if attemptErr == nil {
+				s.Close()
+				t.Fatal("the stream is open")
+			}
+			if !attemptErr.PossibleCrash() || attemptErr.Verdict != sequoiasill.MayHaveRun {
+				t.Errorf("error is %v, verdict %s", attemptErr, attemptErr.Verdict)
+			}
+		})
+	}
+}
+
+func TestUnusualHeadIsAccepted(t *testing.T) {
+	for name, head := range responder.UnusualHeads() {
+		for framing, body := range map[string]string{
+			"with a length":           "Content-Length: 4\r\n\r\ngood",
+			"in chunks with trailers": "Transfer-Encoding: chunked\r\nTrailer: A\r\n\r\n4\r\ngood\r\n0\r\nA: x\r\n\r\n",
+		} {
+			t.Run(name+", "+framing, func(t *testing.T) {
+				f, address := respondWith(t, head+body)
+				r, attemptErr := f.Do(Call{Address: address, Method: http.MethodGet, URI: "/", RequestID: "1", Timeout: sequoiasill.Second})
+				if diff := cmp.Diff("good", string(r.Body)); diff != "" || attemptErr != nil {
+					t.Errorf("error %v, body (-want +got):\n%s", attemptErr, diff)
+				}
+			})
+		}
+	}
+}
--- a/entry/forwarder/forwarder.go
+++ b/entry/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fastjson"
 
 	"sequoiasill.dev/sequoiasill"
+	"sequoiasill.dev/sequoiasill/relay/responsechecker"
 )
 
 // HTTP headers used between entries and upstreams.
@@ -87,7 +88,7 @@
 	if err != nil {
 		return nil, dialError{err}
 	}
-	return c, nil
+	return responsechecker.NewHeadConn(c), nil
 }
 
 func (f *Forwarder) dialWithReadTimeout(addr string) (net.Conn, error) {
--- a/relay/connector/connector.go
+++ b/relay/connector/connector.go
@@ -387,7 +387,7 @@
 	x.conn.bounded.bound(x.connector.opts.MaxHeaderBytes)
 	defer x.conn.bounded.unbound()
 	for {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
+		resp, err := x.conn.readHead(method)
 		if err != nil {
 			return err
 		}
@@ -401,6 +401,22 @@
 	}
 }
 
+// readHead reads the header of one response, interim or final, while the connection's reader is bounded.
+func (k *conn) readHead(method string) (*http.Response, error) {
+	buffered, err := k.reader.Peek(k.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	k.bounded.record(buffered)
+	resp, err := http.ReadResponse(k.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	// What the reader has buffered follows the header.
+	recorded := k.bounded.recorded
+	return resp, responsechecker.CheckHead(recorded[:len(recorded)-k.reader.Buffered()])
+}
+
 func (x *Exchange) abort() {
 	x.closeOnce.Do(func() {
 		x.stopContextWatch()
