A response with an invalid field name is rejected

What callers saw: a replica in trouble sent an answer in whose head the name of a field held a blank or a control byte. The client got it as an answer, with that line passed on or with a body that was not the replica's.

Cause: net/http and fasthttp accept names with blanks. net/http keeps the blank as part of the name, so that the field has no effect; fasthttp strips it before the colon, so that it has one. What such a line says, the framing of the body or the ID of the request, is lost or read in a way that the sender of a valid response cannot mean (RFC 9112, 5.1).

--- a/entry/forwarder/broken_test.go
+++ b/entry/forwarder/broken_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,8 +50,15 @@
 
 // Guards against MIXED: what follows an invalid head, or the body that it frames, is not the upstream's response.
 func TestInvalidHeadIsRejected(t *testing.T) {
+	const fields = StreamIDHeader + ": s\r\nContent-Length: 6\r\n\r\ndata:\n"
+	tests := map[string]string{
+		"a length with a blank": "HTTP/1.1 200 OK\r\n" + strings.Replace(fields, "Length: 6", "Length : 4", 1),
+		"chunks with a blank":   "HTTP/1.1 200 OK\r\n" + strings.Replace(fields, "Content-Length: 6\r\n\r\n", "Transfer-Encoding : chunked\r\n\r\n6\r\n", 1) + "\r\n0\r\n\r\n",
+	}
 	for name, head := range responder.InvalidHeads() {
-		response := head + StreamIDHeader + ": s\r\nContent-Length: 6\r\n\r\ndata:\n"
+		tests[name] = head + fields
+	}
+	for name, response := range tests {
 		t.Run("call, "+name, func(t *testing.T) {
 			f, address := respondWith(t, response)
 			r, attemptErr := f.Do(Call{Address: address, Method: http.MethodGet, URI: "/", RequestID: "1", Timeout: sequoiasill.Second})
--- a/relay/connector/head_test.go
+++ b/relay/connector/head_test.go
@@ -20,6 +20,9 @@
 		"status +20":                              "HTTP/1.1 +20 Trouble\r\nContent-Length: 4\r\n\r\ngood",
 		"status 000, then a response":             "HTTP/1.1 000 Trouble\r\n\r\n" + goodResponse,
 		"status 000 with a body, then a response": "HTTP/1.1 000 Trouble\r\nContent-Length: 3\r\n\r\nbad" + goodResponse,
+		"a length with a blank":                   "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\ngood",
+		"chunks with a blank":                     "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+		"an interim response with a bad name":     "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\n" + goodResponse,
 	}
 	for name, head := range responder.InvalidHeads() {
 		tests[name] = head + "Content-Length: 4\r\n\r\ngood"
--- a/relay/responsechecker/headconn.go
+++ b/relay/responsechecker/headconn.go
@@ -47,7 +47,7 @@
 		if err := CheckHead(c.head[:end]); err != nil {
 			return err
 		}
-		status, err := parseStatus(c.head[:end])
+		status, _, err := splitHead(c.head[:end])
 		if err != nil {
 			return err
 		}
--- a/standin/responder/heads.go
+++ b/standin/responder/heads.go
@@ -9,6 +9,15 @@
 		"status 600":               "HTTP/1.1 600 Trouble\r\n",
 		"status 999":               "HTTP/1.1 999 Trouble\r\n",
 		"status 000 after interim": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble\r\n",
+		"empty name":               "HTTP/1.1 200 OK\r\n: x\r\n",
+		"blank in a name":          "HTTP/1.1 200 OK\r\nBad Name: x\r\n",
+		"blank before the colon":   "HTTP/1.1 200 OK\r\nGood : x\r\n",
+		"name folded":              "HTTP/1.1 200 OK\r\nA: x\r\nGood\r\n : x\r\n",
+		"tab in a name":            "HTTP/1.1 200 OK\r\nBad\tName: x\r\n",
+		"tab before the colon":     "HTTP/1.1 200 OK\r\nGood\t: x\r\n",
+		"byte 00 in a name":        "HTTP/1.1 200 OK\r\nBad\x00Name: x\r\n",
+		"byte 01 in a name":        "HTTP/1.1 200 OK\r\nBad\x01Name: x\r\n",
+		"byte 7f in a name":        "HTTP/1.1 200 OK\r\nBad\x7fName: x\r\n",
 	}
 }
 
