An HTTP/1.0 response with a transfer encoding is rejected

What callers would see: a 200 whose body is the raw chunks, "4\r\ngood\r\n0\r\n\r\n", or the part of them that a length beside it covers.

Cause: HTTP/1.0 has no transfer encodings. net/http removes the field and reads on to the end of the connection, or to the length (RFC 9112, 6.1: the framing is faulty). The same class as the field names: what frames the body is read otherwise than it was meant.

Evidence, before: an entry delivered the chunks as a complete 200 (TestResponseWithInvalidHeadIsNotDelivered); relay/connector took them with a length as a whole response; platform/client took an order for accepted (a write not: the chunks are no JSON). entry/forwarder opened a stream; its calls had failed before.

Change: CheckHead, which sees the field before the library removes it.

--- a/entry/forwarder/broken_test.go
+++ b/entry/forwarder/broken_test.go
@@ -55,6 +55,7 @@
 		"a length with a blank": "HTTP/1.1 200 OK\r\n" + strings.Replace(fields, "Length: 6", "Length : 4", 1),
 		"chunks with a blank":   "HTTP/1.1 200 OK\r\n" + strings.Replace(fields, "Content-Length: 6\r\n\r\n", "Transfer-Encoding : chunked\r\n\r\n6\r\n", 1) + "\r\n0\r\n\r\n",
 	}
+	tests["HTTP/1.0 with chunks"] = strings.NewReplacer("HTTP/1.1", "HTTP/1.0", "Encoding :", "Encoding:").Replace(tests["chunks with a blank"])
 	for name, head := range responder.InvalidHeads() {
 		tests[name] = head + fields
 	}
--- a/entry/forwarder/forwarder_test.go
+++ b/entry/forwarder/forwarder_test.go
@@ -44,6 +44,8 @@
 		want string // empty if the call fails
 	}{
 		"without framing":                              {"HTTP/1.1 200 OK\r\n\r\n", false, "good"},
+		"of HTTP/1.0, without framing":                 {"HTTP/1.0 200 OK\r\n\r\n", false, "good"},
+		"of HTTP/1.0, with a length":                   {"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\n", false, "good"},
 		"without framing, the upstream dies":           {"HTTP/1.1 200 OK\r\n\r\n", true, ""},
 		"with a length, the upstream dies":             {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", true, "good"},
 		"with a length that is not reached, it is cut": {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", true, ""},
--- a/relay/connector/connector_test.go
+++ b/relay/connector/connector_test.go
@@ -115,6 +115,8 @@
 		"with an idle timeout of 0":     {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 4\r\n\r\ngood", "good", false, 2},
 		"with a huge idle timeout":      {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9223372036854775807\r\nContent-Length: 4\r\n\r\ngood", "good", false, 1},
 		"that ends with the connection": {"HTTP/1.1 200 OK\r\n\r\ngood", "good", false, 2},
+		"of HTTP/1.0":                   {"HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\ngood", "good", false, 2},
+		"of HTTP/1.0 without framing":   {"HTTP/1.0 200 OK\r\n\r\ngood", "good", false, 2},
 		"that breaks off":               {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ngood", "good", true, 2},
 		"whose last chunk is missing":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n", "good", true, 2},
 	}
--- a/relay/connector/head_test.go
+++ b/relay/connector/head_test.go
@@ -22,6 +22,8 @@
 		"status 000 with a body, then a response": "HTTP/1.1 000 Trouble\r\nContent-Length: 3\r\n\r\nbad" + goodResponse,
 		"a length with a blank":                   "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\ngood",
 		"chunks with a blank":                     "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+		"HTTP/1.0 with chunks":                    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+		"HTTP/1.0 with chunks and a length":       "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 14\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
 		"an interim response with a bad name":     "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\n" + goodResponse,
 	}
 	for name, head := range responder.InvalidHeads() {
--- a/relay/responsechecker/head.go
+++ b/relay/responsechecker/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/juju/errors"
 	"golang.org/x/net/http/httpguts"
@@ -20,21 +21,44 @@
 
 // CheckHead checks the head of a response, from its status line to the empty line, as it was received. The
 // error wraps ErrInvalidHead.
-func CheckHead(head []byte) error {
-	status, fields, err := splitHead(head)
+func CheckHead(raw []byte) error {
+	_, err := parseHead(raw)
+	return err
+}
+
+// head is the head of a response.
+type head struct {
+	version []byte
+	status  int
+	fields  []byte // lines of the fields
+}
+
+// parseHead splits and checks the head of a response. Libraries accept several spaces before the status, and empty
+// lines before its line.
+func parseHead(raw []byte) (head, error) {
+	line, fields, _ := bytes.Cut(bytes.TrimLeft(raw, "\r\n"), []byte("\n"))
+	version, rest, _ := bytes.Cut(trimLineEnd(line), []byte(" "))
+	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status, err := strconv.Atoi(string(digits))
 	if err != nil {
-		return err
+		return head{}, errors.Annotatef(ErrInvalidHead, "status line %.64q", line)
 	}
 	if err := checkStatus(status); err != nil {
-		return err
+		return head{}, err
 	}
-	return checkFields(fields)
+	h := head{version: version, status: status, fields: fields}
+	return h, h.checkFields()
+}
+
+// isInterim reports whether another head follows (RFC 9110, 15.2).
+func (h head) isInterim() bool {
+	return h.status < http.StatusOK && h.status != http.StatusSwitchingProtocols
 }
 
-// checkFields checks the lines of the fields of a head, and of their continuations.
-func checkFields(fields []byte) error {
+// checkFields checks the lines of the fields, and where they are continued.
+func (h head) checkFields() error {
 	first := true
-	for line := range bytes.Lines(fields) {
+	for line := range bytes.Lines(h.fields) {
 		line = trimLineEnd(line)
 		if len(line) == 0 {
 			return nil
@@ -50,11 +74,22 @@
 		if err := checkName(string(name)); err != nil {
 			return err
 		}
+		if !h.allowsTransferEncoding() && strings.EqualFold(string(name), "Transfer-Encoding") {
+			return errors.Annotatef(ErrInvalidHead, "transfer encoding with version %.64q", h.version)
+		}
 	}
 	return nil
 }
 
+// allowsTransferEncoding reports whether the version has transfer encodings. In an earlier one they leave open how
+// the body is framed (RFC 9112, 6.1).
+func (h head) allowsTransferEncoding() bool {
+	major, minor, ok := http.ParseHTTPVersion(string(h.version))
+	return ok && (major > 1 || major == 1 && minor >= 1)
+}
+
 // CheckResponse checks the head of a response that a client of net/http has read. The error wraps ErrInvalidHead.
+// Transfer encodings of an HTTP/1.0 response are not checked, as net/http removes them.
 func CheckResponse(r *http.Response) error {
 	if err := checkStatus(r.StatusCode); err != nil {
 		return err
@@ -74,8 +109,8 @@
 	return nil
 }
 
-// checkName checks the name of a field. Libraries accept blanks in it, but not as part of the name that was meant,
-// so that the field has no effect (RFC 9112, 5.1).
+// checkName checks the name of a field. Libraries accept names with blanks, and read them as one that the sender did
+// not mean, or ignore the field (RFC 9112, 5.1).
 func checkName(name string) error {
 	if !httpguts.ValidHeaderFieldName(name) {
 		return errors.Annotatef(ErrInvalidHead, "field name %.64q", name)
@@ -83,18 +118,6 @@
 	return nil
 }
 
-// splitHead returns the status in a head and the lines of its fields. Libraries accept several spaces before the
-// status, and empty lines before its line.
-func splitHead(head []byte) (status int, fields []byte, err error) {
-	line, fields, _ := bytes.Cut(bytes.TrimLeft(head, "\r\n"), []byte("\n"))
-	_, rest, _ := bytes.Cut(trimLineEnd(line), []byte(" "))
-	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
-	if status, err = strconv.Atoi(string(digits)); err != nil {
-		return 0, nil, errors.Annotatef(ErrInvalidHead, "status line %.64q", line)
-	}
-	return status, fields, nil
-}
-
 // trimLineEnd returns a line without its line feed and the carriage return before it.
 func trimLineEnd(line []byte) []byte {
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
--- a/relay/responsechecker/headconn.go
+++ b/relay/responsechecker/headconn.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net"
-	"net/http"
 )
 
 // HeadConn is the connection of a client that writes each request in full before it reads the response. A read
@@ -44,15 +43,11 @@
 		if end < 0 {
 			return nil
 		}
-		if err := CheckHead(c.head[:end]); err != nil {
-			return err
-		}
-		status, _, err := splitHead(c.head[:end])
+		h, err := parseHead(c.head[:end])
 		if err != nil {
 			return err
 		}
-		c.head = c.head[end:]
-		c.expectsHead = status < http.StatusOK && status != http.StatusSwitchingProtocols
+		c.head, c.expectsHead = c.head[end:], h.isInterim()
 	}
 	c.head = nil
 	return nil
--- a/relay/responsechecker/headconn_test.go
+++ b/relay/responsechecker/headconn_test.go
@@ -42,8 +42,10 @@
 }
 
 func TestHeadConn(t *testing.T) {
+	invalid := responder.InvalidHeads()
+	invalid["chunks of HTTP/1.0"] = "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n"
 	for _, byByte := range []bool{false, true} {
-		for name, head := range responder.InvalidHeads() {
+		for name, head := range invalid {
 			got, err := receive(t, head+"\r\nbody", byByte)
 			if !errors.Is(err, responsechecker.ErrInvalidHead) || strings.HasPrefix(got, head+"\r\n") {
 				t.Errorf("%s, byte by byte %t: error %v, received %q", name, byByte, err, got)
