--- a/entry/forwarder/broken_test.go
+++ b/entry/forwarder/broken_test.go
@@ -100,3 +100,32 @@
 		}
 	}
 }
+
+// Guards against processes that a response without a body ends.
+func TestResponseWithoutBody(t *testing.T) {
+	for _, status := range []int{http.StatusNoContent, http.StatusNotModified} {
+		response := fmt.Sprintf("HTTP/1.1 %d %s\r\n\r\n", status, http.StatusText(status))
+		t.Run(fmt.Sprintf("call, %d", status), func(t *testing.T) {
+			defer failOnPanic(t)
+			f, address := respondWith(t, response)
+			r, attemptErr := f.Do(Call{Address: address, Method: http.MethodGet, URI: "/", RequestID: "1", Timeout: sequoiasill.Second})
+			if attemptErr != nil || r.Status != status || len(r.Body) > 0 {
+				t.Errorf("error %v, status %d, body %q", attemptErr, r.Status, r.Body)
+			}
+		})
+		t.Run(fmt.Sprintf("stream, %d", status), func(t *testing.T) {
+			defer failOnPanic(t)
+			f, address := respondWith(t, response)
+			if _, attemptErr := f.Open(StreamRequest{Address: address, Method: http.MethodPost, URI: "/", StreamID: "s"}); attemptErr == nil || attemptErr.Status != status {
+				t.Errorf("error %v, status %d is wanted", attemptErr, status)
+			}
+		})
+	}
+}
+
+// failOnPanic fails a test that panics, and lets the others go on.
+func failOnPanic(t *testing.T) {
+	if e := recover(); e != nil {
+		t.Errorf("ended by %v", e)
+	}
+}
