Tests of responses during uploads wait for the upload, not for a time

A stand-in that closes its socket resets the connection only if part of the upload has arrived, which a busy machine might not have done in 50 ms; it now reads some of it first. The bound that shows that no read waits for an upload is a second while the upload is left for three, instead of 50 ms.

--- a/relay/connector/reset_test.go
+++ b/relay/connector/reset_test.go
@@ -26,8 +26,12 @@
 // Guards against MIXED: a reset that ends the write of the request was not reported to the reader of the response.
 func TestResponseDuringUpload(t *testing.T) {
 	const unframed, chunked = "HTTP/1.1 200 OK\r\n\r\ngood", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n"
-	// endAfter is the time between the response and the end of its connection. By then only the write waits for it.
-	const endAfter = 50 * time.Millisecond
+	const (
+		// endAfter is the time between the response and the end of its connection. By then only the write waits for it.
+		endAfter = 50 * time.Millisecond
+		// leftFor is how long an upload is left unread, and maxWait is how long the end of a response may take meanwhile.
+		leftFor, maxWait = 3 * time.Second, time.Second
+	)
 	tests := map[string]struct {
 		response string
 		end      func(c net.Conn, r *bufio.Reader)
@@ -41,7 +45,7 @@
 		}, nil},
 		"without framing, whole, upload left": {unframed, func(c net.Conn, _ *bufio.Reader) {
 			_ = c.(*net.TCPConn).CloseWrite()
-			time.Sleep(10 * endAfter)
+			time.Sleep(leftFor)
 		}, nil},
 		"without framing, whole, reset later": {unframed, func(c net.Conn, _ *bufio.Reader) {
 			_ = c.(*net.TCPConn).CloseWrite()
@@ -56,10 +60,13 @@
 			t.Parallel()
 			ended := make(chan struct{})
 			u := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
-				if _, err := http.ReadRequest(r); err != nil {
+				req, err := http.ReadRequest(r)
+				if err != nil {
 					t.Error(err)
+					return
 				}
 				_, _ = io.WriteString(c, tc.response)
+				_, _ = io.CopyN(io.Discard, req.Body, uploadBytes/100)
 				time.AfterFunc(2*endAfter, func() { close(ended) })
 				time.Sleep(endAfter)
 				tc.end(c, r)
@@ -80,7 +87,7 @@
 			if !errors.Is(err, tc.want) {
 				t.Errorf("error is %v, %v is wanted", err, tc.want)
 			}
-			if took := time.Since(began); took > endAfter {
+			if took := time.Since(began); took > maxWait {
 				t.Errorf("the rest of the response was read after %s", took)
 			}
 		})
--- a/relay/responsechecker/conn.go
+++ b/relay/responsechecker/conn.go
@@ -56,9 +56,9 @@
 func (c *Conn) failure() error {
 	if !c.writing.TryLock() {
 		if !isClosed(c.Conn) {
-			return nil
+			return nil // the other end has only ended its sending side
 		}
-		// The write in progress ends at once, as the connection is closed.
+		// The write in progress returns at once, as the connection is closed.
 		c.writing.Lock()
 	}
 	defer c.writing.Unlock()
