--- a/relay/responsechecker/head.go
+++ b/relay/responsechecker/head.go
@@ -67,14 +67,14 @@
 			continue
 		}
 		first = false
-		name, _, ok := bytes.Cut(line, []byte(":"))
+		name, _, ok := strings.Cut(string(line), ":")
 		if !ok {
 			return errors.Annotatef(ErrInvalidHead, "field line %.64q without a colon", line)
 		}
-		if err := checkName(string(name)); err != nil {
+		if err := checkName(name); err != nil {
 			return err
 		}
-		if !h.allowsTransferEncoding() && strings.EqualFold(string(name), "Transfer-Encoding") {
+		if strings.EqualFold(name, "Transfer-Encoding") && !h.allowsTransferEncoding() {
 			return errors.Annotatef(ErrInvalidHead, "transfer encoding with version %.64q", h.version)
 		}
 	}
