--- /dev/null
+++ b/review/harness3/main.go
@@ -0,0 +1,146 @@
+// Command harness3 runs the scripted cases of the review: it starts the project's entries as processes of
+// their own, with stand-ins of the platform, of replicas and of requesters, and checks one rule from what
+// these have seen. It exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"time"
+)
+
+// env holds what all cases share.
+type env struct {
+	trouble bool
+	dir     string // for settings and logs
+	rec     *recorder
+	edges   []*edge
+	store   *store
+	runs    *runLog
+}
+
+// cases are the cases by name. Each returns whether the rule was broken.
+var cases = map[string]func(e *env) (broken bool, err error){
+	"rollout-4xx":  func(e *env) (bool, error) { return runRollout(e, rolloutNotFound) },
+	"crash":        func(e *env) (bool, error) { return runCrash(e, crashAtOnce) },
+	"crash-slow":   func(e *env) (bool, error) { return runCrash(e, crashSlow) },
+	"rollout-504":  func(e *env) (bool, error) { return runRollout(e, rolloutStuck) },
+	"rollout-late": func(e *env) (bool, error) { return runRollout(e, rolloutLate) },
+	"rollout-500":  func(e *env) (bool, error) { return runRollout(e, rolloutErrors) },
+}
+
+func main() {
+	name := flag.String("case", "", "Case to run.")
+	record := flag.String("record", "record.txt", "File to which the record is written.")
+	keep := flag.String("logs", "", "Folder in which the logs of the entries are kept; empty for none.")
+	flag.Parse()
+	run, ok := cases[*name]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "no such case:", *name)
+		os.Exit(2)
+	}
+	rec, err := newRecorder(*record)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	e := &env{trouble: os.Getenv("TROUBLE") != "0", dir: *keep, rec: rec, runs: &runLog{}}
+	broken, err := e.run(run)
+	verdict, code := "the rule held", 0
+	switch {
+	case err != nil:
+		verdict, code = "the case could not run: "+err.Error(), 2
+	case broken:
+		verdict, code = "the rule was broken", 1
+	}
+	rec.printf("%s", verdict)
+	if err := rec.close(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		code = 2
+	}
+	fmt.Println(verdict)
+	os.Exit(code)
+}
+
+// run prepares the folder of a case and ends all processes after it.
+func (e *env) run(f func(e *env) (bool, error)) (bool, error) {
+	if e.dir == "" {
+		dir, err := os.MkdirTemp("", "review-")
+		if err != nil {
+			return false, err
+		}
+		defer func() { _ = os.RemoveAll(dir) }()
+		e.dir = dir
+	}
+	defer func() {
+		for _, x := range e.edges {
+			x.kill()
+		}
+	}()
+	e.rec.printf("trouble %t", e.trouble)
+	return f(e)
+}
+
+// loopback returns an address of the loopback network that other runs on the machine do not use.
+func loopback(network, host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, network, host)
+}
+
+// The parts of the loopback network.
+const (
+	storeNetwork = 80 + iota
+	edgeNetwork
+	oldNetwork
+	newNetwork
+)
+
+// leadTime is the time from the start of the machines to the start of the traffic.
+const leadTime = 10 * time.Second
+
+// zones are the zones of the deployment.
+var zones = []string{"trent-a", "soar-b", "derwent-c"}
+
+// startStore starts the platform's store.
+func (e *env) startStore(rec *recorder) error {
+	l, err := net.Listen("tcp", loopback(storeNetwork, 1)+":0")
+	if err != nil {
+		return err
+	}
+	e.store = newStore(l, rec)
+	return nil
+}
+
+// startEdges starts an entry in each zone and waits until they are ready and the traffic may start.
+func (e *env) startEdges(store string) error {
+	begin := time.Now()
+	var ips, seeds []string
+	for i := range zones {
+		ips = append(ips, loopback(edgeNetwork, i+1))
+	}
+	var p ports
+	var err error
+	for _, port := range []*int{&p.frontend, &p.ready, &p.control, &p.internal} {
+		if *port, err = freePort(ips); err != nil {
+			return err
+		}
+	}
+	for i, zone := range zones {
+		e.edges = append(e.edges, &edge{name: "edge-" + zone + "-1", zone: zone, ip: ips[i], ports: p})
+		seeds = append(seeds, fmt.Sprintf("%s:%d", ips[i], p.control))
+	}
+	for _, x := range e.edges {
+		if err := x.start(e.dir, seeds, store); err != nil {
+			return err
+		}
+		e.rec.printf("%s started", x.name)
+	}
+	for _, x := range e.edges {
+		if err := x.awaitReady(begin.Add(20 * time.Second)); err != nil {
+			return err
+		}
+	}
+	time.Sleep(time.Until(begin.Add(leadTime)))
+	return nil
+}
