--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(e *env) (broken bool, err error){
 	"rollout-4xx":     func(e *env) (bool, error) { return runRollout(e, rolloutNotFound) },
 	"rollout-refused": func(e *env) (bool, error) { return runRollout(e, rolloutRefused) },
+	"rollout-rare":    func(e *env) (bool, error) { return runRollout(e, rolloutRare) },
 	"rollout-few":     func(e *env) (bool, error) { return runRollout(e, rolloutFew) },
 	"rollout-late":    func(e *env) (bool, error) { return runRollout(e, rolloutLate) },
 }
--- a/review/harness3/rollout.go
+++ b/review/harness3/rollout.go
@@ -20,6 +20,7 @@
 var (
 	rolloutNotFound = badness{path: "/lodge/", status: http.StatusNotFound}
 	rolloutRefused  = badness{path: "/lodge/", status: rejected}
+	rolloutRare     = badness{path: "/receipt/", status: http.StatusInternalServerError}
 	rolloutFew      = badness{status: http.StatusInternalServerError, every: 40}
 	rolloutLate     = badness{status: http.StatusInternalServerError, from: 0.85}
 )
@@ -36,9 +37,10 @@
 	badAnswers    = 50
 )
 
-// rolloutRoutes are the routes of the site's plain service, with its rates.
+// rolloutRoutes are the routes of the site's plain service, with its rates, and one that is seldom used.
 var rolloutRoutes = []route{
 	{name: "lodge-return", prefix: "/lodge/", kind: "unsafe", method: http.MethodPost, perS: 37, deadline: time.Second, attempts: 1},
+	{name: "receipt", prefix: "/receipt/", kind: "unsafe", method: http.MethodPost, perS: 0.2, deadline: time.Second, attempts: 1},
 	{name: "status-read", prefix: "/status/", kind: "safe", method: http.MethodGet, perS: 14.8, deadline: time.Second, attempts: 2},
 }
 
