--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Moves a service to a version that fails one request in 40, and checks EXPOSURE.
+# Lets the machines that watch the store lose power, and then those that watch in their place; checks DRAIN and CONFIG.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review3/harness3 ] && [ -x target/sequoia-edge ] || exit 2
-exec target/review3/harness3 -case rollout-few -record review/14/record.txt
+exec target/review3/harness3 -case watchers -record review/14/record.txt
--- a/review/harness3/edge.go
+++ b/review/harness3/edge.go
@@ -17,6 +17,9 @@
 	zone  string
 	ip    string
 	ports ports
+	store string
+	seeds []string
+	dir   string
 	cmd   *exec.Cmd
 	done  chan struct{}
 }
@@ -108,18 +111,19 @@
 dutyPerS = 50.0
 `
 
-func (e *edge) start(dir string, seeds []string, store string) error {
+func (e *edge) start(dir string, seeds []string) error {
+	e.dir, e.seeds = dir, seeds
 	quoted := make([]string, len(seeds))
 	for i, s := range seeds {
 		quoted[i] = fmt.Sprintf("%q", s)
 	}
 	settings := fmt.Sprintf(settingsTemplate, e.name, e.ip, e.zone, e.ports.internal, e.ports.internal+15, strings.Join(quoted, ","),
-		e.ip, e.ports.frontend, e.ip, e.ports.ready, e.ip, e.ports.control, store, store)
+		e.ip, e.ports.frontend, e.ip, e.ports.ready, e.ip, e.ports.control, e.store, e.store)
 	path := filepath.Join(dir, e.name+".toml")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	out, err := os.Create(filepath.Join(dir, e.name+".log"))
+	out, err := os.OpenFile(filepath.Join(dir, e.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
 	}
--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -27,6 +27,7 @@
 	"rollout-refused": func(e *env) (bool, error) { return runRollout(e, rolloutRefused) },
 	"rollout-rare":    func(e *env) (bool, error) { return runRollout(e, rolloutRare) },
 	"rollout-few":     func(e *env) (bool, error) { return runRollout(e, rolloutFew) },
+	"watchers":        runWatchers,
 	"rollout-late":    func(e *env) (bool, error) { return runRollout(e, rolloutLate) },
 }
 
@@ -113,9 +114,15 @@
 
 // startEdges starts an entry in each zone and waits until they are ready and the traffic may start.
 func (e *env) startEdges(store string) error {
+	return e.startFleet(len(zones), func(int) (string, error) { return store, nil })
+}
+
+// startFleet starts entries in all zones in turn and waits until they are ready and the traffic may start. The
+// store's address may be another one for each.
+func (e *env) startFleet(count int, store func(i int) (string, error)) error {
 	begin := time.Now()
 	var ips, seeds []string
-	for i := range zones {
+	for i := range count {
 		ips = append(ips, loopback(edgeNetwork, i+1))
 	}
 	var p ports
@@ -125,12 +132,19 @@
 			return err
 		}
 	}
-	for i, zone := range zones {
-		e.edges = append(e.edges, &edge{name: "edge-" + zone + "-1", zone: zone, ip: ips[i], ports: p})
-		seeds = append(seeds, fmt.Sprintf("%s:%d", ips[i], p.control))
+	for i := range count {
+		zone := zones[i%len(zones)]
+		address, err := store(i)
+		if err != nil {
+			return err
+		}
+		e.edges = append(e.edges, &edge{name: fmt.Sprintf("edge-%s-%d", zone, i/len(zones)+1), zone: zone, ip: ips[i], ports: p, store: address})
+		if i < len(zones) {
+			seeds = append(seeds, fmt.Sprintf("%s:%d", ips[i], p.control))
+		}
 	}
 	for _, x := range e.edges {
-		if err := x.start(e.dir, seeds, store); err != nil {
+		if err := x.start(e.dir, seeds); err != nil {
 			return err
 		}
 		e.rec.printf("%s started", x.name)
--- a/review/harness3/requester.go
+++ b/review/harness3/requester.go
@@ -26,6 +26,8 @@
 // attempt is one requester attempt.
 type attempt struct {
 	id     string
+	edge   string
+	key    string
 	sentAt time.Time
 	status int // 0 if the channel closed or the time ran out
 	signed bool
@@ -108,7 +110,7 @@
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Bearer "+q.key)
-	a := attempt{id: id, sentAt: time.Now()}
+	a := attempt{id: id, edge: e.name, key: q.key, sentAt: time.Now()}
 	resp, err := q.client.Do(req)
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
--- a/review/harness3/rollout.go
+++ b/review/harness3/rollout.go
@@ -50,8 +50,8 @@
 	siteTenant = "huka270"
 )
 
-// config returns a config with the given routes to one service.
-func config(service string, routes []route) map[string]any {
+// config returns a config with the given routes to one service, and the keys of the tenant.
+func config(version int, service string, routes []route, keys ...string) map[string]any {
 	var list []any
 	for _, r := range routes {
 		list = append(list, map[string]any{
@@ -60,9 +60,9 @@
 		})
 	}
 	return map[string]any{
-		"version": 7, "routes": list,
+		"version": version, "routes": list,
 		"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConnections": 100}},
-		"tenants":  []any{map[string]any{"name": siteTenant, "apiKeys": []string{siteKey}, "priority": 1}},
+		"tenants":  []any{map[string]any{"name": siteTenant, "apiKeys": keys, "priority": 1}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 10000},
 	}
 }
@@ -72,7 +72,7 @@
 	if err := e.startStore(e.rec); err != nil {
 		return false, err
 	}
-	e.store.set("config", "main", config(rolloutService, rolloutRoutes))
+	e.store.set("config", "main", config(7, rolloutService, rolloutRoutes, siteKey))
 	good := func(string) int { return http.StatusOK }
 	old, err := e.startReplicas(rolloutService, oldVersion, loopback(oldNetwork, 1), good)
 	if err != nil {
--- a/review/harness3/store.go
+++ b/review/harness3/store.go
@@ -50,11 +50,18 @@
 	changed  chan struct{} // closed at each change
 	fences   map[string]uint64
 	onStatus func(kind, name string, status json.RawMessage)
+	watches  map[string]int // open watches of the list of replicas, by the address of the store that was called
 }
 
 // newStore serves on l until the process ends.
 func newStore(l net.Listener, rec *recorder) *store {
-	s := &store{rec: rec, address: l.Addr().String(), revision: 1, objects: make(map[string]map[string]object), changed: make(chan struct{}), fences: make(map[string]uint64)}
+	s := &store{rec: rec, address: l.Addr().String(), revision: 1, objects: make(map[string]map[string]object), changed: make(chan struct{}), fences: make(map[string]uint64), watches: make(map[string]int)}
+	s.serve(l)
+	return s
+}
+
+// serve serves on one more address until the process ends.
+func (s *store) serve(l net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/objects/{kind}", s.list)
 	mux.HandleFunc("POST /-/objects/{kind}", s.create)
@@ -65,7 +72,30 @@
 	mux.HandleFunc("POST /usage", s.duty)
 	mux.HandleFunc("POST /scaling", s.duty)
 	go func() { _ = http.Serve(l, mux) }()
-	return s
+}
+
+// watchers returns the addresses of the store at which a watch of the list of replicas waits.
+func (s *store) watchers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for address, n := range s.watches {
+		if n > 0 {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// countWatch adds n to the open watches of a call's address.
+func (s *store) countWatch(r *http.Request, kind string, n int) {
+	address, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if kind != "servers" || !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watches[address.String()] += n
 }
 
 // write stores an object under a new revision. The caller holds the lock.
@@ -157,6 +187,8 @@
 		return
 	}
 	timer := time.After(time.Duration(wait) * time.Millisecond)
+	s.countWatch(r, kind, 1)
+	defer s.countWatch(r, kind, -1)
 	for {
 		s.mu.Lock()
 		found, at, changed := []event{}, s.revision, s.changed
