--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -8,17 +8,20 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
 // env holds what all cases share.
 type env struct {
-	trouble bool
-	dir     string // for settings and logs
-	rec     *recorder
-	edges   []*edge
-	store   *store
-	runs    *runLog
+	trouble   bool
+	dir       string // for settings and logs
+	removeDir bool
+	rec       *recorder
+	edges     []*edge
+	store     *store
+	runs      *runLog
 }
 
 // cases are the cases by name. Each returns whether the rule was broken.
@@ -47,6 +50,13 @@
 		os.Exit(2)
 	}
 	e := &env{trouble: os.Getenv("TROUBLE") != "0", dir: *keep, rec: rec, runs: &runLog{}}
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ended
+		e.clean()
+		os.Exit(2)
+	}()
 	broken, err := e.run(run)
 	verdict, code := "the rule held", 0
 	switch {
@@ -71,18 +81,23 @@
 		if err != nil {
 			return false, err
 		}
-		defer func() { _ = os.RemoveAll(dir) }()
-		e.dir = dir
+		e.dir, e.removeDir = dir, true
 	}
-	defer func() {
-		for _, x := range e.edges {
-			x.kill()
-		}
-	}()
+	defer e.clean()
 	e.rec.printf("trouble %t", e.trouble)
 	return f(e)
 }
 
+// clean ends all entries and removes the folder of the case unless it is to be kept.
+func (e *env) clean() {
+	for _, x := range e.edges {
+		x.kill()
+	}
+	if e.removeDir {
+		_ = os.RemoveAll(e.dir)
+	}
+}
+
 // loopback returns an address of the loopback network that other runs on the machine do not use.
 func loopback(network, host int) string {
 	return fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, network, host)
