Each wave of silent watchers of the store is replaced

Cause: silence meant nothing to an entry that is neither a watcher nor one of the first deputies, and a deputy only knew whether processes ended. A list of deputies of any fixed depth has a next wave.

Fix: watchers that the store answers send heartbeats by gossip, and ping it when none was heard. All other entries are deputies, in tiers, each of which watches once all lower ones are silent: ended, stopped, cut off, or left without answers by the store. A watcher that got no answers lists again before it counts.

Ruled out: the store or gossip losing the changes; no entry asked for them.

TestDeputiesWatchWhileAllWatchersAreSilent and the others of the roster stay as they are; the fake entries of these tests answer pings now, as a store does.

--- a/decide/gossiper/dissemination.go
+++ b/decide/gossiper/dissemination.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"sort"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -21,9 +22,6 @@
 		return
 	}
 	g.mergeMember(now, m.Sender)
-	if p, ok := g.members[m.Sender.Name]; ok {
-		p.heardAt = now
-	}
 	g.notifySuspect(m.Sender)
 	for _, member := range m.Members {
 		g.mergeMember(now, member)
@@ -122,7 +120,6 @@
 	old, known := g.members[m.Name]
 	next := &peer{member: m, stateSince: now}
 	if known {
-		next.heardAt = old.heardAt
 		if old.member.State == m.State {
 			next.stateSince = old.stateSince
 		}
@@ -181,8 +178,12 @@
 	}
 	u := &update{fact: f}
 	g.facts[f.Key] = u
-	g.enqueue(f.Key, u)
 	g.actions = append(g.actions, FactReceived{Fact: f})
+	if g.isHeartbeat(f.Key) {
+		g.pushFact(f)
+		return
+	}
+	g.enqueue(f.Key, u)
 	if !f.Urgent || exchanged {
 		return
 	}
@@ -190,6 +191,10 @@
 	g.repushes = append(g.repushes, f)
 }
 
+func (g *Gossiper) isHeartbeat(key string) bool {
+	return g.opts.HeartbeatPrefix != "" && strings.HasPrefix(key, g.opts.HeartbeatPrefix)
+}
+
 // sendDirect sends a fact to the named members.
 func (g *Gossiper) sendDirect(ev SendDirect) {
 	f := ev.Fact
@@ -306,6 +311,9 @@
 		g.appendUpdate(&m, u)
 	}
 	for _, key := range sortedKeys(g.facts) {
+		if g.isHeartbeat(key) {
+			continue
+		}
 		u := g.facts[key]
 		flushIfFull(g.updateSize(u))
 		g.appendUpdate(&m, u)
--- a/decide/gossiper/gossiper.go
+++ b/decide/gossiper/gossiper.go
@@ -84,6 +84,9 @@
 	DeadRetention       sequoiasill.Millis // time after which a dead member is deleted
 	MaxPacketBytes      int
 	SeedInterval        sequoiasill.Millis // interval of messages to seeds that are unknown or dead
+	// HeartbeatPrefix begins the keys of facts of which a newer one follows soon: a member pushes each version
+	// once and leaves them out of probes and comparisons. With "" there are none.
+	HeartbeatPrefix string
 }
 
 // DefaultOptions returns the options that entries use.
@@ -124,9 +127,6 @@
 	Fact    Fact
 }
 
-// PingMember pings a member beside the regular probes. Its answer shows in HeardAt.
-type PingMember struct{ Name string }
-
 // Leave marks this entry as leaving.
 type Leave struct{}
 
@@ -135,7 +135,6 @@
 func (Seeds) event()      {}
 func (Publish) event()    {}
 func (SendDirect) event() {}
-func (PingMember) event() {}
 func (Leave) event()      {}
 
 // Action is an output of the state machine.
@@ -183,7 +182,6 @@
 	member       Member
 	stateSince   sequoiasill.Millis // when the current state began
 	suspectPings int                // pings sent to the suspect so that it can refute the suspicion
-	heardAt      sequoiasill.Millis // when the last message of the member arrived, 0 if none did
 }
 
 // update is a fact or a member that is being disseminated.
@@ -237,11 +235,6 @@
 		g.mergeFact(now, ev.Fact, false)
 	case SendDirect:
 		g.sendDirect(ev)
-	case PingMember:
-		if p, ok := g.members[ev.Name]; ok && p.member.State != Dead {
-			g.seq++
-			g.sendWithUpdates(p.member.Address, Message{Kind: Ping, Seq: g.seq})
-		}
 	case Leave:
 		g.self.Leaving = true
 		g.self.Incarnation++
@@ -265,14 +258,6 @@
 	return out
 }
 
-// HeardAt returns when the last message of a member arrived, 0 if none did.
-func (g *Gossiper) HeardAt(name string) sequoiasill.Millis {
-	if p, ok := g.members[name]; ok {
-		return p.heardAt
-	}
-	return 0
-}
-
 // PossiblyAlive returns the number of entries that may be serving, including this one: all
 // members except those that are dead after they announced that they were leaving. A
 // dead member may be running behind a network partition. It counts until its
--- a/entry/messenger/messenger.go
+++ b/entry/messenger/messenger.go
@@ -108,16 +108,6 @@
 	m.step(gossiper.SendDirect{Members: members, Fact: gossiper.Fact{Key: key, Version: version, Value: value}})
 }
 
-// Ping pings a member beside the regular probes.
-func (m *Messenger) Ping(member string) { m.step(gossiper.PingMember{Name: member}) }
-
-// HeardAt returns when the last message of a member arrived, 0 if none did.
-func (m *Messenger) HeardAt(member string) sequoiasill.Millis {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.gossiper.HeardAt(member)
-}
-
 // Leave announces to the other entries that this entry is draining.
 func (m *Messenger) Leave() { m.step(gossiper.Leave{}) }
 
--- a/relay/exchanger/exchanger.go
+++ b/relay/exchanger/exchanger.go
@@ -33,6 +33,7 @@
 	keyDemand      = "demand/"  // + collector: the total demand that it computed
 	keyHolder      = "holder"   // name of the lease holder
 	keyUnavailable = "away/"    // + entry: non-empty if the store is unavailable to it
+	keyHeartbeat   = "watched/" // + entry that watches the store: the store answered it just now
 	keyDraining    = "leaving/" // + upstream: the version encodes the start time of the incarnation that is draining
 	keyQuarantine  = "culprit/" // + hexadecimal fingerprint: a request that crashes upstreams
 )
@@ -110,6 +111,16 @@
 	Fetch(ctx context.Context) ([]byte, error)
 }
 
+// Store is this entry's connection to the store.
+type Store interface {
+	// Ping makes a small call, and returns an error if the store does not answer it.
+	Ping(ctx context.Context) error
+	// IsFollowed reports whether this entry follows all kinds of objects without a gap.
+	IsFollowed() bool
+	// Relist lists all objects again that this entry follows.
+	Relist()
+}
+
 // Replicas receives updates about upstreams from other entries.
 type Replicas interface {
 	Announce(r sequoiasill.Replica, source string)
@@ -147,6 +158,7 @@
 type Handlers struct {
 	Configs  Configs
 	Origin   Origin
+	Store    Store
 	Replicas Replicas
 	Calls    Calls
 	Moves    Moves
@@ -178,6 +190,7 @@
 	replicas    Replicas
 	calls       Calls
 	origin      Origin
+	store       Store
 	moves       Moves
 	screener    Screener
 	requests    Screener
@@ -215,7 +228,7 @@
 	storeUnavailable bool            // the store is unavailable to this entry
 	overdueWatches   map[string]bool // kinds of which the store owes this entry the answer to a watch
 
-	deputy deputy // used by the goroutine of checkWatchers, except for active
+	vigil vigil
 
 	unreachableMu sync.Mutex
 	unreachable   []string // services whose upstreams this entry does not reach
@@ -248,10 +261,11 @@
 		opts.MinReportInterval = defaultReportInterval
 	}
 	e := &Exchanger{
-		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, moves: h.Moves, screener: h.Screener, requests: h.Requests, evacuations: h.Evacuations, clock: clock, log: log.Named("exchanger"),
+		opts: opts, configs: h.Configs, replicas: h.Replicas, calls: h.Calls, origin: h.Origin, store: h.Store, moves: h.Moves, screener: h.Screener, requests: h.Requests, evacuations: h.Evacuations, clock: clock, log: log.Named("exchanger"),
 		client: &http.Client{Timeout: pullTimeout}, wake: make(chan struct{}, 1), reported: make(chan struct{}, 1), summed: make(chan struct{}, 1), stop: make(chan struct{}),
 		startedAt: clock.Now(), bootClock: boot, limits: newLimits(opts.Name, opts.Name+"/"+opts.Session, boot.Now(), seed),
 		tallier: t, demands: make(map[string]receivedDemand), sums: make(map[string]receivedDemand), overdueWatches: make(map[string]bool), spent: make(map[string]float64),
+		vigil: vigil{heardAt: make(map[string]sequoiasill.Millis)},
 	}
 	self := gossiper.Member{
 		Name: opts.Name, Address: opts.Address, Zone: opts.Zone, Incarnation: uint64(clock.Now()), Session: uint64(clock.Now()),
@@ -270,14 +284,14 @@
 	}()
 	go e.loop()
 	go func() {
-		tick := time.NewTicker(watcherCheckInterval)
+		tick := time.NewTicker(vigilInterval)
 		defer tick.Stop()
 		for {
 			select {
 			case <-e.stop:
 				return
 			case <-tick.C:
-				e.checkWatchers()
+				e.keepVigil()
 			}
 		}
 	}()
@@ -292,6 +306,7 @@
 	o.AckTimeout = 150
 	o.CompareInterval = 3 * sequoiasill.Second
 	o.SeedInterval = sequoiasill.Second
+	o.HeartbeatPrefix = keyHeartbeat
 	return o
 }
 
--- a/relay/exchanger/exchanger_test.go
+++ b/relay/exchanger/exchanger_test.go
@@ -40,6 +40,8 @@
 	spent       float64
 	origin      []byte // content of the store, nil while it is unavailable
 	fetches     atomic.Int64
+	away        atomic.Bool // the store does not answer this entry
+	relists     atomic.Int64
 	total       allotter.Totals
 	collector   string // collector that published totals
 	blamer      *blamer.Blamer
@@ -71,6 +73,24 @@
 	return e.origin, nil
 }
 
+// Ping fails while the store does not answer this entry.
+func (e *entry) Ping(context.Context) error {
+	if e.away.Load() {
+		return errors.New("store is away")
+	}
+	return nil
+}
+
+func (e *entry) IsFollowed() bool { return true }
+
+func (e *entry) Relist() { e.relists.Add(1) }
+
+// SetStoreUnavailable also lets pings of the store fail.
+func (e *entry) SetStoreUnavailable(unavailable bool) {
+	e.away.Store(unavailable)
+	e.Exchanger.SetStoreUnavailable(unavailable)
+}
+
 // Accept stores a configuration, whose first byte is its version, if it is newer.
 func (e *entry) Accept(raw []byte, _ string) {
 	e.mu.Lock()
@@ -221,7 +241,7 @@
 	}
 	opts := exchanger.Options{Name: name, Session: session, Zone: "a", Address: e.address, Seeds: seeds, MinEntries: 1, MinReportInterval: interval}
 	tl := tallier.New(name+"/"+session, 5*sequoiasill.Second, 4)
-	e.Exchanger = exchanger.New(opts, conn, l, tl, exchanger.Handlers{Configs: e, Origin: e, Replicas: e, Calls: e, Moves: e, Screener: e.screener, Requests: e.requests, Evacuations: e}, clock, clock, uint64(number+1), hclog.NewNullLogger())
+	e.Exchanger = exchanger.New(opts, conn, l, tl, exchanger.Handlers{Configs: e, Origin: e, Store: e, Replicas: e, Calls: e, Moves: e, Screener: e.screener, Requests: e.requests, Evacuations: e}, clock, clock, uint64(number+1), hclog.NewNullLogger())
 	t.Cleanup(e.Close)
 	return e
 }
--- a/relay/exchanger/facts.go
+++ b/relay/exchanger/facts.go
@@ -72,6 +72,8 @@
 	switch {
 	case f.Key == keyConfig:
 		e.noteConfigVersion(f.Version, string(f.Value))
+	case strings.HasPrefix(f.Key, keyHeartbeat):
+		e.vigil.heard(strings.TrimPrefix(f.Key, keyHeartbeat), e.clock.Now())
 	case strings.HasPrefix(f.Key, keyReplica):
 		e.handleReplica(strings.TrimPrefix(f.Key, keyReplica), f)
 	case strings.HasPrefix(f.Key, keyDraining):
--- a/relay/exchanger/roster.go
+++ b/relay/exchanger/roster.go
@@ -4,6 +4,7 @@
 	"slices"
 	"sort"
 
+	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/gossiper"
 	"sequoiasill.dev/sequoiasill/decide/picker"
 )
@@ -56,18 +57,34 @@
 // WatchPosition returns this entry's position among the entries that watch the store on behalf
 // of all, or -1 if it is not one of them, and their number. The watchers are the first of each
 // zone in rendezvous hashing order and the first extraWatchers of the rest, without entries to
-// which the store is unavailable. Their deputies, chosen in the same way from the others, watch while all
-// watchers are silent.
+// which the store is unavailable. Their deputies watch while all watchers are silent.
 func (e *Exchanger) WatchPosition() (place, total int) {
-	watchers, deputies := e.watchers()
-	if e.deputy.active.Load() && !slices.Contains(watchers, e.opts.Name) {
-		watchers = deputies
+	e.refreshTiers()
+	v := &e.vigil
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	tier, place := v.position(e.opts.Name)
+	if !v.watches(tier) {
+		return -1, len(v.tiers[0])
 	}
-	return slices.Index(watchers, e.opts.Name), len(watchers)
+	return place, len(v.tiers[tier])
 }
 
-// watchers returns the names of the watchers and of their deputies.
-func (e *Exchanger) watchers() (watchers, deputies []string) {
+// tiersTTL is how long the tiers are used until they are determined again.
+const tiersTTL = 100 * sequoiasill.Millis(1)
+
+// refreshTiers determines the tiers again if they are old.
+func (e *Exchanger) refreshTiers() {
+	v, now := &e.vigil, e.clock.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.tiers == nil || now-v.tiersAt >= tiersTTL || now < v.tiersAt {
+		v.tiers, v.tiersAt = chooseTiers(e.eligibleWatchers()), now
+	}
+}
+
+// eligibleWatchers returns the entries that may watch the store, in rendezvous hashing order.
+func (e *Exchanger) eligibleWatchers() []gossiper.Member {
 	var eligible, remaining []gossiper.Member
 	for _, m := range e.gossip.Members() {
 		if m.Leaving {
@@ -85,9 +102,20 @@
 	sort.Slice(eligible, func(i, j int) bool {
 		return picker.Rendezvous(keyConfig, 0, eligible[i].Name) > picker.Rendezvous(keyConfig, 0, eligible[j].Name)
 	})
-	watchers, others := chooseWatchers(eligible)
-	deputies, _ = chooseWatchers(others)
-	return watchers, deputies
+	return eligible
+}
+
+// chooseTiers returns the names of the watchers and of the tiers of their deputies, each chosen like the watchers
+// from the members that are left.
+func chooseTiers(members []gossiper.Member) [][]string {
+	watchers, others := chooseWatchers(members)
+	tiers := [][]string{watchers}
+	for len(others) > 0 {
+		var deputies []string
+		deputies, others = chooseWatchers(others)
+		tiers = append(tiers, deputies)
+	}
+	return tiers
 }
 
 // chooseWatchers returns the names of the first member of each zone and of the first extraWatchers of the
