What a version declines is compared with the old version

Cause: an answer below 500 was a success of the version, at the dispatcher and in entry/invoker; entry/generator did not count an engine's 400 at all. A 4xx is a good answer to a caller's mistake and a bad one of a version that lacks a route.

Fix: a status of 3xx or 4xx is a result of its own. How often both versions decline is compared on the same route and in the same interval only, so that a burst of callers' mistakes, or a route that both decline, ends no move. Latencies and durations are those of successes only.

Ruled out: lost evidence and a weak test; the counts had no failures.

--- a/config/reporter/reporter.go
+++ b/config/reporter/reporter.go
@@ -38,11 +38,14 @@
 	Entries  map[string]map[string]wireSample `json:"entries"`
 }
 
-// wireSample holds the numbers of requests, errors and slow requests of both
-// versions. It is compact because entries gossip it up to twice a second.
+// wireCounts holds the numbers of requests, errors, slow and declined requests of a version. It is compact because
+// entries gossip it up to twice a second. Older builds send and read the first three numbers.
+type wireCounts [4]int
+
+// wireSample holds the counts of both versions.
 type wireSample struct {
-	Old [3]int `json:"old"`
-	New [3]int `json:"new"`
+	Old wireCounts `json:"old"`
+	New wireCounts `json:"new"`
 	// Order is that of the move, where entries send their samples one by one.
 	Order uint64 `json:"order,omitempty"`
 }
@@ -127,8 +130,10 @@
 	return out
 }
 
-func encodeCounts(c detector.Counts) [3]int { return [3]int{c.Requests, c.Errors, c.Slow} }
+func encodeCounts(c detector.Counts) wireCounts {
+	return wireCounts{c.Requests, c.Errors, c.Slow, c.Declined}
+}
 
-func decodeCounts(w [3]int) detector.Counts {
-	return detector.Counts{Requests: w[0], Errors: w[1], Slow: w[2]}
+func decodeCounts(w wireCounts) detector.Counts {
+	return detector.Counts{Requests: w[0], Errors: w[1], Slow: w[2], Declined: w[3]}
 }
--- a/decide/detector/detector.go
+++ b/decide/detector/detector.go
@@ -18,16 +18,18 @@
 	Requests int
 	Errors   int
 	Slow     int // slower than most requests to the old version at that time
+	// Declined is the number of requests that were answered with a status of 3xx or 4xx. They are no errors.
+	Declined int
 }
 
 // Add returns the sum of two counts.
 func (c Counts) Add(o Counts) Counts {
-	return Counts{Requests: c.Requests + o.Requests, Errors: c.Errors + o.Errors, Slow: c.Slow + o.Slow}
+	return Counts{Requests: c.Requests + o.Requests, Errors: c.Errors + o.Errors, Slow: c.Slow + o.Slow, Declined: c.Declined + o.Declined}
 }
 
 // Sub returns the difference of two cumulative counts.
 func (c Counts) Sub(o Counts) Counts {
-	return Counts{Requests: c.Requests - o.Requests, Errors: c.Errors - o.Errors, Slow: c.Slow - o.Slow}
+	return Counts{Requests: c.Requests - o.Requests, Errors: c.Errors - o.Errors, Slow: c.Slow - o.Slow, Declined: c.Declined - o.Declined}
 }
 
 // Options configure a Detector.
@@ -51,6 +53,12 @@
 	ExcessThreshold float64
 	ExcessRatio     float64
 	ExcessStep      float64
+	// ContrastThreshold is the sum of log-likelihood ratios at which declined requests beyond the old version's rate are
+	// reported, ContrastRatio the multiple of that rate, and ContrastStep the minimum increase, that count as a
+	// regression.
+	ContrastThreshold float64
+	ContrastRatio     float64
+	ContrastStep      float64
 	// Doubt and Suspicion are the levels below a report.
 	Doubt     Level
 	Suspicion Level
@@ -67,6 +75,9 @@
 	Step       float64
 	// MinErrors is the number of errors of the new version below which deviations say little.
 	MinErrors int
+	// Contrast and ContrastDeviations are the same as Sum and Deviations for declined requests.
+	Contrast           float64
+	ContrastDeviations float64
 }
 
 // DefaultOptions returns the options that moves use.
@@ -75,7 +86,9 @@
 		Threshold: 14, ErrorRatio: 3, ErrorStep: 0.004, SlowRatio: 2, SlowStep: 0.02,
 		MuchSlowerRatio: 6, MuchSlowerStep: 0.15, MuchSlowerThreshold: 10,
 		ExcessThreshold: 10, ExcessRatio: 3, ExcessStep: 0.08,
-		Doubt: Level{Sum: 3, Deviations: 2, Step: 0.03}, Suspicion: Level{Sum: 5, Deviations: 2.5, Step: 0.03, MinErrors: 3},
+		ContrastThreshold: 10, ContrastRatio: 20, ContrastStep: 0.05,
+		Doubt:     Level{Sum: 3, Deviations: 2, Step: 0.03, Contrast: 4, ContrastDeviations: 3},
+		Suspicion: Level{Sum: 5, Deviations: 2.5, Step: 0.03, MinErrors: 3, Contrast: 6.5, ContrastDeviations: 4},
 	}
 }
 
@@ -84,9 +97,10 @@
 
 // The results.
 const (
-	None   Regression = ""
-	Errors Regression = "errors"
-	Slow   Regression = "latency"
+	None     Regression = ""
+	Errors   Regression = "errors"
+	Slow     Regression = "latency"
+	Declined Regression = "declined requests"
 )
 
 // Detector compares the versions on one route. It is not safe for concurrent use.
@@ -97,6 +111,7 @@
 	muchSlower  series
 	excess      excess
 	surplus     surplus
+	declined    contrast
 	newRequests int
 }
 
@@ -108,6 +123,7 @@
 		slow:       series{ratio: opts.SlowRatio, step: opts.SlowStep, threshold: opts.Threshold},
 		muchSlower: series{ratio: opts.MuchSlowerRatio, step: opts.MuchSlowerStep, threshold: opts.MuchSlowerThreshold},
 		excess:     excess{ratio: opts.ExcessRatio, step: opts.ExcessStep, threshold: opts.ExcessThreshold},
+		declined:   newContrast(opts),
 	}
 }
 
@@ -120,9 +136,12 @@
 	d.surplus.observe(old, next)
 	slow := d.slow.observe(old.Requests-old.Errors, old.Slow, next.Requests-next.Errors, next.Slow)
 	much := d.muchSlower.observe(old.Requests-old.Errors, old.Slow, next.Requests-next.Errors, next.Slow)
+	declined := d.declined.observe(old.Requests, old.Declined, next.Requests, next.Declined)
 	switch {
 	case errs || excess:
 		return Errors
+	case declined:
+		return Declined
 	case slow || much:
 		return Slow
 	}
--- a/entry/generator/generator.go
+++ b/entry/generator/generator.go
@@ -35,7 +35,7 @@
 type Versions interface {
 	// Record records the result of a request to a version. The latency is in
 	// microseconds, for a model service up to the first token.
-	Record(service, route, version string, failed bool, micros int64)
+	Record(service, route, version string, result sequoiasill.VersionResult, micros int64)
 	// FallbackVersion returns another version of the service that can run a request whose
 	// own version has no available upstream.
 	FallbackVersion(service, pool, version string) (string, bool)
--- a/entry/generator/run.go
+++ b/entry/generator/run.go
@@ -92,8 +92,8 @@
 const modelRoute = "chat"
 
 // record records the result and the latency of an attempt for its version.
-func (r *run) record(version string, failed bool, since time.Time) {
-	r.g.versions.Record(r.gen.Job().Request.Service, modelRoute, version, failed, time.Since(since).Microseconds())
+func (r *run) record(version string, result sequoiasill.VersionResult, since time.Time) {
+	r.g.versions.Record(r.gen.Job().Request.Service, modelRoute, version, result, time.Since(since).Microseconds())
 }
 
 // invalidRequest reports whether the upstream rejected the request as invalid.
@@ -199,7 +199,7 @@
 		}
 		r.gen.append(r.epoch, ev.Text, ev.FinishReason)
 		if first {
-			r.record(up.Version, false, sent)
+			r.record(up.Version, sequoiasill.VersionServed, sent)
 		}
 		last = r.measureToken(first, received == 0, last, up)
 		if r.gen.moveDue(r.g.clock.Now()) {
@@ -232,12 +232,13 @@
 func (r *run) prepareRetry(failed *failedAttempt) bool {
 	job := r.gen.Job()
 	if failed.invalidRequest() {
+		r.record(failed.upstream.Version, sequoiasill.VersionDeclined, r.startedAt)
 		r.end(r.failure(failed, retrier.InvalidRequest))
 		return false
 	}
 	planned := r.observe(failed)
 	if !planned && failed.upstream.Name != "" && !failed.DialFailed {
-		r.record(failed.upstream.Version, true, r.startedAt)
+		r.record(failed.upstream.Version, sequoiasill.VersionFailed, r.startedAt)
 	}
 	if failed.upstream.Name != "" {
 		r.avoid[failed.upstream.Name] = true
--- a/entry/invoker/invoker.go
+++ b/entry/invoker/invoker.go
@@ -46,7 +46,7 @@
 // Versions collects the results of calls by version.
 type Versions interface {
 	// Record records the result of a call to a version. The latency is in microseconds.
-	Record(service, route, version string, failed bool, micros int64)
+	Record(service, route, version string, result sequoiasill.VersionResult, micros int64)
 	// UsualLatency returns the latency that most recent calls to a route did not exceed,
 	// or false if there were none.
 	UsualLatency(service, route string) (sequoiasill.Millis, bool)
@@ -170,8 +170,14 @@
 	}
 	endedHere := attemptErr != nil && i.hasEnded()
 	if attemptErr == nil || !endedHere && !attemptErr.DialFailed && !attemptErr.Refused() {
-		failed := attemptErr != nil || response.Status >= 500
-		i.versions.Record(call.Request.Service, call.Route.Path, up.Version, failed, time.Since(startedAt).Microseconds())
+		result := sequoiasill.VersionServed
+		switch {
+		case attemptErr != nil || response.Status >= 500:
+			result = sequoiasill.VersionFailed
+		case response.Status >= 300:
+			result = sequoiasill.VersionDeclined
+		}
+		i.versions.Record(call.Request.Service, call.Route.Path, up.Version, result, time.Since(startedAt).Microseconds())
 	}
 	if attemptErr == nil || endedHere || !attemptErr.PossibleCrash() || i.forwarder.Reachable(up.Address) {
 		i.isolator.Step(quarantiner.Finished{Fingerprint: fp, Upstream: up.Name, Clean: attemptErr == nil})
--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -180,7 +180,7 @@
 
 // Record counts the outcome of a request to a version. The latency, in
 // microseconds, is the time to the first token or that of the whole call.
-func (s *Shifter) Record(service, route, version string, failed bool, micros int64) {
+func (s *Shifter) Record(service, route, version string, result sequoiasill.VersionResult, micros int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	serviceLatencies := s.serviceLatencies(service)
@@ -195,9 +195,10 @@
 			s.trials[m.Name] = t
 		}
 		isNew = version == m.To && s.status(m).End != sequoiasill.MoveDone
-		t.record(route, version == m.To, failed, slow)
+		t.record(route, version == m.To, result, slow)
 	}
-	if failed || isNew {
+	if result != sequoiasill.VersionServed || isNew {
+		// Failures and refusals of a request take another time than its work.
 		return
 	}
 	if err := serviceLatencies.record(route, micros); err != nil {
--- a/entry/shifter/trial.go
+++ b/entry/shifter/trial.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 
+	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/detector"
 	"sequoiasill.dev/sequoiasill/decide/mover"
 )
@@ -26,11 +27,13 @@
 
 // record counts the outcome of a request. A request is slow if it took longer than most
 // requests to the old version.
-func (t *trial) record(route string, isNew, failed, slow bool) {
+func (t *trial) record(route string, isNew bool, result sequoiasill.VersionResult, slow bool) {
 	c := detector.Counts{Requests: 1}
 	switch {
-	case failed:
+	case result == sequoiasill.VersionFailed:
 		c.Errors = 1
+	case result == sequoiasill.VersionDeclined:
+		c.Declined = 1
 	case slow:
 		c.Slow = 1
 	}
--- a/move.go
+++ b/move.go
@@ -24,6 +24,29 @@
 	Rejected string // version of an earlier order that was not completed, empty if there is none
 }
 
+// VersionResult is what the result of a call tells of the version that it was sent to.
+type VersionResult int
+
+// The results. Whether a version declines calls that it should serve shows only by comparison with another version.
+const (
+	VersionServed   VersionResult = iota // answered with success, or begun to
+	VersionFailed                        // failed, or not answered
+	VersionDeclined                      // answered with a status of 3xx or 4xx
+)
+
+// String returns the name of the result.
+func (r VersionResult) String() string {
+	switch r {
+	case VersionServed:
+		return "served"
+	case VersionFailed:
+		return "failed"
+	case VersionDeclined:
+		return "declined"
+	}
+	return "unknown"
+}
+
 // MoveEnd is the outcome of a move.
 type MoveEnd string
 
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -47,15 +47,16 @@
 	limit            registrar.Limit    // rate limit that the response carries
 	load             registrar.Load     // load that the response reports if hasLoad is set
 	hasLoad          bool
-	pathBroke        bool               // the end of the attempt may be due to the path to the upstream
-	untilClose       bool               // the response has no framing and ends with its connection
-	relay            bool               // another entry serves the call
-	last             bool               // the call may not be retried after this attempt
-	permit           *throttler.Permit  // nil if the upstream has no rate limit
-	lastData         sequoiasill.Millis // when the response last made progress; guarded by the dispatcher's lock
-	patience         sequoiasill.Millis // without progress, after which the call may be moved to another entry; guarded by the dispatcher's lock
-	offering         bool               // the call is being offered to other entries; guarded by the dispatcher's lock
-	maybeSent        bool               // part of the request may have been sent
+	pathBroke        bool                      // the end of the attempt may be due to the path to the upstream
+	untilClose       bool                      // the response has no framing and ends with its connection
+	relay            bool                      // another entry serves the call
+	last             bool                      // the call may not be retried after this attempt
+	permit           *throttler.Permit         // nil if the upstream has no rate limit
+	lastData         sequoiasill.Millis        // when the response last made progress; guarded by the dispatcher's lock
+	patience         sequoiasill.Millis        // without progress, after which the call may be moved to another entry; guarded by the dispatcher's lock
+	offering         bool                      // the call is being offered to other entries; guarded by the dispatcher's lock
+	maybeSent        bool                      // part of the request may have been sent
+	result           sequoiasill.VersionResult // of an answer that is delivered
 	cancel           context.CancelCauseFunc
 }
 
@@ -161,8 +162,11 @@
 			"by", t.choice.Replica.Name, "zone", t.choice.Replica.Zone, "took", took, "end", result}, args...)...)
 		return
 	}
-	if outcome == registrar.Failed || outcome == registrar.Succeeded && t.timeToFirstEvent == 0 {
-		t.recordForMove(outcome == registrar.Failed, took)
+	switch {
+	case outcome == registrar.Failed:
+		t.recordForMove(sequoiasill.VersionFailed, took)
+	case outcome == registrar.Succeeded && t.timeToFirstEvent == 0:
+		t.recordForMove(t.result, took)
 	}
 	if !t.d.log.IsInfo() {
 		return
@@ -184,12 +188,12 @@
 // recordForMove adds the result of the attempt to the evaluation of the version. A stream
 // is recorded at its first event, and again if it is interrupted. The entry that serves a relayed
 // call records it.
-func (t *try) recordForMove(failed bool, took sequoiasill.Millis) {
+func (t *try) recordForMove(result sequoiasill.VersionResult, took sequoiasill.Millis) {
 	if t.relay {
 		return
 	}
-	record := func() { t.d.moves.Record(t.service, t.route.Name, t.choice.Replica.Version, failed, took) }
-	if !failed || !t.pathBroke {
+	record := func() { t.d.moves.Record(t.service, t.route.Name, t.choice.Replica.Version, result, took) }
+	if result != sequoiasill.VersionFailed || !t.pathBroke {
 		record()
 		return
 	}
@@ -374,7 +378,11 @@
 	t.clearSuspicion()
 	t.d.screener.RecordServed(t.parts)
 	e.Kind = classifier.Succeeded
-	t.recordDuration()
+	if a.Status < http.StatusMultipleChoices {
+		t.recordDuration()
+	} else {
+		t.result = sequoiasill.VersionDeclined
+	}
 	t.conclude(e, "answered", "", "status", a.Status, "bytes", len(body))
 	if err := t.reply.SendWhole(a.Status, a.Header, body); err != nil {
 		t.d.recordNotDelivered(t.job, err)
--- a/relay/dispatcher/dispatcher.go
+++ b/relay/dispatcher/dispatcher.go
@@ -169,7 +169,7 @@
 	Assign(service, call string) sequoiasill.VersionAssignment
 	// Record adds the result of a call at an upstream, with the time to its response or to its
 	// first event. A stream that is interrupted is recorded twice.
-	Record(service, route, version string, failed bool, took sequoiasill.Millis)
+	Record(service, route, version string, result sequoiasill.VersionResult, took sequoiasill.Millis)
 	// RecordDuration adds how long a call took that an upstream answered in full.
 	RecordDuration(service, version string, took sequoiasill.Millis)
 }
--- a/relay/dispatcher/dispatcher_test.go
+++ b/relay/dispatcher/dispatcher_test.go
@@ -214,10 +214,10 @@
 
 func (u *fakePeers) RecordDuration(string, string, sequoiasill.Millis) {}
 
-func (u *fakePeers) Record(service, route, version string, failed bool, _ sequoiasill.Millis) {
+func (u *fakePeers) Record(service, route, version string, result sequoiasill.VersionResult, _ sequoiasill.Millis) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.records = append(u.records, fmt.Sprintf("%s %s %s failed %t", service, route, version, failed))
+	u.records = append(u.records, fmt.Sprintf("%s %s %s %s", service, route, version, result))
 }
 
 func (u *fakePeers) AnnounceQuarantine(f blamer.Fingerprint, _ sequoiasill.Millis) {
--- a/relay/dispatcher/relay_test.go
+++ b/relay/dispatcher/relay_test.go
@@ -361,7 +361,7 @@
 // other entry reaches the upstreams either, these are down: guards against BUDGET, as crashes of the last
 // upstreams of a service were charged to nobody.
 func TestBrokenPathsChargeNobody(t *testing.T) {
-	failed := []string{"plain once  failed true"}
+	failed := []string{"plain once  failed"}
 	tests := map[string]struct {
 		settle  func(p *fakePaths, r *fakeRelays)
 		charges int
--- a/relay/dispatcher/stream.go
+++ b/relay/dispatcher/stream.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/classifier"
 	"sequoiasill.dev/sequoiasill/decide/registrar"
 )
@@ -143,7 +144,7 @@
 	if f.delivered == 0 {
 		f.timer.stop()
 		f.timeToFirstEvent = max(f.d.clock.Now()-f.started, 1)
-		f.recordForMove(false, f.timeToFirstEvent)
+		f.recordForMove(sequoiasill.VersionServed, f.timeToFirstEvent)
 		f.countUsage()
 		f.d.meter.FirstEvent(f.d.clock.Now() - f.call.ArrivedAt)
 		if len(b) > 0 {
--- a/relay/dispatcher/versions_test.go
+++ b/relay/dispatcher/versions_test.go
@@ -22,13 +22,15 @@
 		sent         []string // versions that attempts were sent to
 		records      []string
 	}{
-		"the old version":                {false, 1, []step{good}, []string{"v1"}, []string{"plain read v1 failed false"}},
-		"the new version":                {true, 1, []step{good}, []string{"v2"}, []string{"plain read v2 failed false"}},
-		"no upstream of the new version": {true, 0, []step{good}, []string{"v1"}, []string{"plain read v1 failed false"}},
+		"the old version":                {false, 1, []step{good}, []string{"v1"}, []string{"plain read v1 served"}},
+		"the new version":                {true, 1, []step{good}, []string{"v2"}, []string{"plain read v2 served"}},
+		"no upstream of the new version": {true, 0, []step{good}, []string{"v1"}, []string{"plain read v1 served"}},
 		"the new version failed": {true, 1, []step{bad, good}, []string{"v2", "v1"},
-			[]string{"plain read v2 failed true", "plain read v1 failed false"}},
+			[]string{"plain read v2 failed", "plain read v1 served"}},
+		"the new version declines":  {true, 1, []step{{status: 404, body: "none"}}, []string{"v2"}, []string{"plain read v2 declined"}},
+		"the new version redirects": {true, 1, []step{{status: 302}}, []string{"v2"}, []string{"plain read v2 declined"}},
 		"the old version failed": {false, 1, []step{bad, bad}, []string{"v1", "v1"},
-			[]string{"plain read v1 failed true", "plain read v1 failed true"}},
+			[]string{"plain read v1 failed", "plain read v1 failed"}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -118,8 +120,8 @@
 		step    step
 		records []string // at the first event and at the end
 	}{
-		"a whole one":        {step{status: 200, events: true, body: event}, []string{"plain long  failed false"}},
-		"one that broke off": {step{status: 200, events: true, body: event, broken: true}, []string{"plain long  failed false", "plain long  failed true"}},
+		"a whole one":        {step{status: 200, events: true, body: event}, []string{"plain long  served"}},
+		"one that broke off": {step{status: 200, events: true, body: event, broken: true}, []string{"plain long  served", "plain long  failed"}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/relay/roller/exposure_test.go
+++ b/relay/roller/exposure_test.go
@@ -23,9 +23,12 @@
 
 // simulation is a move of a service under a steady load.
 type simulation struct {
-	rates    map[string]float64 // requests in a second, by route
-	failures map[string]float64 // share of the new version's responses, by route
-	others   float64            // share of all other responses that are failures
+	rates    map[string]float64        // requests in a second, by route
+	failures map[string]float64        // share of the new version's responses, by route
+	others   float64                   // share of all other responses that are failures
+	result   sequoiasill.VersionResult // of what the new version fails, VersionFailed if it is VersionServed
+	declined map[string]float64        // share of both versions' responses that are declined, by route
+	burst    [2]float64                // fractions of the duration between which callers' requests of all routes are declined
 	duration sequoiasill.Millis
 	badFrom  float64            // fraction of the duration from which the new version fails
 	drain    sequoiasill.Millis // time that calls last, 40 ms if it is 0
@@ -77,13 +80,22 @@
 // request sends a request to one of the versions and adds its outcome to the sample.
 func (s *simulation) request(now sequoiasill.Millis, route string, sample mover.Sample) mover.Sample {
 	toNew := s.rand.IntN(1000) < s.share
-	rate := s.others
-	if toNew && float64(now) >= s.badFrom*float64(s.duration) {
-		rate = max(rate, s.failures[route])
-	}
+	at := float64(now) / float64(s.duration)
 	c := detector.Counts{Requests: 1}
-	if s.rand.Float64() < rate {
+	bad := 0
+	switch {
+	case toNew && at >= s.badFrom && s.rand.Float64() < s.failures[route]:
+		bad = 1
+		switch s.result {
+		case sequoiasill.VersionDeclined:
+			c.Declined = 1
+		default:
+			c.Errors = 1
+		}
+	case s.rand.Float64() < s.others:
 		c.Errors = 1
+	case s.rand.Float64() < s.declined[route] || at >= s.burst[0] && at < s.burst[1]:
+		c.Declined = 1
 	}
 	if now < s.duration {
 		s.requests++
@@ -100,7 +112,7 @@
 	if s.lateFrom > 0 && now >= s.lateFrom {
 		s.late++
 	}
-	if s.bad += c.Errors; s.bad == badResponses && c.Errors > 0 {
+	if s.bad += bad; s.bad == badResponses && bad > 0 {
 		s.lateFrom = now + rollbackTime
 	}
 	return sample
@@ -271,3 +283,76 @@
 		})
 	}
 }
+
+// Guards against EXPOSURE: a version that answered a route with 404 was completed, as it did not fail (review/11).
+func TestVersionThatDeclinesRequestsIsRolledBack(t *testing.T) {
+	checkResults(t, sequoiasill.VersionDeclined)
+}
+
+// checkResults runs simulations of versions that serve a part of their requests with a result.
+func checkResults(t *testing.T, result sequoiasill.VersionResult) {
+	t.Helper()
+	const runs = 200
+	for name, tc := range map[string]struct {
+		failures map[string]float64
+		from     float64
+	}{
+		"one route":                {map[string]float64{"lodge": 1}, 0},
+		"a quarter of a route":     {map[string]float64{"lodge": 0.25}, 0},
+		"the smaller route":        {map[string]float64{"status": 1}, 0},
+		"all routes":               {map[string]float64{"lodge": 1, "status": 1}, 0},
+		"from half of its time on": {map[string]float64{"lodge": 1}, 0.5},
+		"from 0.85 of its time on": {map[string]float64{"lodge": 1}, 0.85},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			held, rolledBack := 0, 0
+			for seed := range uint64(runs) {
+				s := &simulation{rates: siteLoad(), failures: tc.failures, result: result, badFrom: tc.from, others: 0.002, duration: 40 * sequoiasill.Second}
+				if s.run(seed) == sequoiasill.MoveRolledBack {
+					rolledBack++
+				}
+				if s.withinLimits() {
+					held++
+				}
+			}
+			if min(held, rolledBack)*100 < goal*runs {
+				t.Errorf("%d of %d bad versions were rolled back and %d stayed within the limits, want 99%%", rolledBack, runs, held)
+			}
+		})
+	}
+}
+
+// A good version is completed, also if callers make mistakes: both versions decline their requests.
+func TestGoodVersionIsCompletedThoughCallersMakeMistakes(t *testing.T) {
+	const runs = 200
+	everyFifth := map[string]float64{"lodge": 0.2, "status": 0.2}
+	for name, tc := range map[string]struct {
+		declined map[string]float64
+		burst    [2]float64
+	}{
+		"each fifth request":        {everyFifth, [2]float64{}},
+		"one route":                 {map[string]float64{"status": 1}, [2]float64{}},
+		"a burst":                   {nil, [2]float64{0.5, 0.6}},
+		"a burst in the last stage": {everyFifth, [2]float64{0.8, 0.85}},
+		"a burst at the end":        {nil, [2]float64{0.9, 1}},
+		"a burst and each fifth":    {everyFifth, [2]float64{0.3, 0.35}},
+		"a hundredth":               {map[string]float64{"lodge": 0.01, "status": 0.01}, [2]float64{}},
+	} {
+		for _, duration := range []sequoiasill.Millis{15_000, 20_000, 40_000} {
+			t.Run(name+" in "+duration.String(), func(t *testing.T) {
+				t.Parallel()
+				done := 0
+				for seed := range uint64(runs) {
+					s := &simulation{rates: siteLoad(), declined: tc.declined, burst: tc.burst, duration: duration}
+					if s.run(seed) == sequoiasill.MoveDone && s.endedAt <= duration {
+						done++
+					}
+				}
+				if done*100 < goal*runs {
+					t.Errorf("%d of %d good versions were completed, want 99%%", done, runs)
+				}
+			})
+		}
+	}
+}
--- a/relay/roller/roller.go
+++ b/relay/roller/roller.go
@@ -155,8 +155,8 @@
 
 // Record records the outcome of a call to an upstream, with the time to its response or
 // its first event.
-func (r *Roller) Record(service, route, version string, failed bool, took sequoiasill.Millis) {
-	r.shifter.Record(service, route, version, failed, took.Duration().Microseconds())
+func (r *Roller) Record(service, route, version string, result sequoiasill.VersionResult, took sequoiasill.Millis) {
+	r.shifter.Record(service, route, version, result, took.Duration().Microseconds())
 }
 
 // RecordDuration records how long a call that an upstream answered took in all.
