What a version rejects though it has room is compared with the old version

With a version that rejected all, callers got 503 for most of what it rejected in the last stages, though the old version stood beside it with room.

Cause: the evidence on a move had answered and failed requests only. A rejected call went to the other upstreams of the new version first, and exceeded the retry budget before it came to the old one.

Fix: a rejection counts if the response tells that the upstream had room, and is compared with the old version at the same time and on the same route. A call that one upstream of the new version has rejected goes to the old version next.

Ruled out: rejections that are lost on the way; they are logged.

--- a/config/reporter/reporter.go
+++ b/config/reporter/reporter.go
@@ -38,9 +38,9 @@
 	Entries  map[string]map[string]wireSample `json:"entries"`
 }
 
-// wireCounts holds the numbers of requests, errors, slow and declined requests of a version. It is compact because
+// wireCounts holds the numbers of requests, errors, slow, declined and rejected requests of a version. It is compact because
 // entries gossip it up to twice a second. Older builds send and read the first three numbers.
-type wireCounts [4]int
+type wireCounts [5]int
 
 // wireSample holds the counts of both versions.
 type wireSample struct {
@@ -131,9 +131,9 @@
 }
 
 func encodeCounts(c detector.Counts) wireCounts {
-	return wireCounts{c.Requests, c.Errors, c.Slow, c.Declined}
+	return wireCounts{c.Requests, c.Errors, c.Slow, c.Declined, c.Rejected}
 }
 
 func decodeCounts(w wireCounts) detector.Counts {
-	return detector.Counts{Requests: w[0], Errors: w[1], Slow: w[2], Declined: w[3]}
+	return detector.Counts{Requests: w[0], Errors: w[1], Slow: w[2], Declined: w[3], Rejected: w[4]}
 }
--- a/control/controller/controller.go
+++ b/control/controller/controller.go
@@ -234,8 +234,8 @@
 		r.version, r.status = version, s
 		total := r.mover.Total()
 		c.log.Info("move", "name", s.Move, "share", s.Share, "end", s.End, "reason", s.Reason, "epoch", s.Epoch,
-			"oldRequests", total.Old.Requests, "oldErrors", total.Old.Errors, "oldSlow", total.Old.Slow, "oldDeclined", total.Old.Declined,
-			"newRequests", total.New.Requests, "newErrors", total.New.Errors, "newSlow", total.New.Slow, "newDeclined", total.New.Declined)
+			"oldRequests", total.Old.Requests, "oldErrors", total.Old.Errors, "oldSlow", total.Old.Slow, "oldDeclined", total.Old.Declined, "oldRejected", total.Old.Rejected,
+			"newRequests", total.New.Requests, "newErrors", total.New.Errors, "newSlow", total.New.Slow, "newDeclined", total.New.Declined, "newRejected", total.New.Rejected)
 		return
 	}
 	if errors.Is(err, storer.ErrRefused) {
--- a/decide/detector/contrast.go
+++ b/decide/detector/contrast.go
@@ -2,9 +2,9 @@
 
 import "math"
 
-// contrast compares how often both versions answer in a way that is no success, though it may be the right answer:
-// only the other version, at the same time and on the same route, tells. Callers' mistakes come in bursts that both
-// versions get in proportion to their requests.
+// contrast compares how often both versions decline or reject requests, which may be right: only the other version, at
+// the same time and on the same route, tells. Callers' mistakes come in bursts that both versions get in proportion to
+// their requests.
 type contrast struct {
 	more     series // somewhat more often
 	muchMore series // many times as often, which takes fewer requests
--- a/decide/detector/detector.go
+++ b/decide/detector/detector.go
@@ -20,16 +20,21 @@
 	Slow     int // slower than most requests to the old version at that time
 	// Declined is the number of requests that were answered with a status of 3xx or 4xx. They are no errors.
 	Declined int
+	// Rejected is the number of requests that an upstream did not run though it had room. They are not in Requests.
+	Rejected int
 }
 
+// Sent returns the number of requests that reached the version.
+func (c Counts) Sent() int { return c.Requests + c.Rejected }
+
 // Add returns the sum of two counts.
 func (c Counts) Add(o Counts) Counts {
-	return Counts{Requests: c.Requests + o.Requests, Errors: c.Errors + o.Errors, Slow: c.Slow + o.Slow, Declined: c.Declined + o.Declined}
+	return Counts{Requests: c.Requests + o.Requests, Errors: c.Errors + o.Errors, Slow: c.Slow + o.Slow, Declined: c.Declined + o.Declined, Rejected: c.Rejected + o.Rejected}
 }
 
 // Sub returns the difference of two cumulative counts.
 func (c Counts) Sub(o Counts) Counts {
-	return Counts{Requests: c.Requests - o.Requests, Errors: c.Errors - o.Errors, Slow: c.Slow - o.Slow, Declined: c.Declined - o.Declined}
+	return Counts{Requests: c.Requests - o.Requests, Errors: c.Errors - o.Errors, Slow: c.Slow - o.Slow, Declined: c.Declined - o.Declined, Rejected: c.Rejected - o.Rejected}
 }
 
 // Options configure a Detector.
@@ -53,8 +58,8 @@
 	ExcessThreshold float64
 	ExcessRatio     float64
 	ExcessStep      float64
-	// ContrastThreshold is the sum of log-likelihood ratios at which declined requests beyond the old version's rate are
-	// reported, ContrastRatio the multiple of that rate, and ContrastStep the minimum increase, that count as a
+	// ContrastThreshold is the sum of log-likelihood ratios at which declined or rejected requests beyond the old
+	// version's rate are reported, ContrastRatio the multiple of that rate, and ContrastStep the minimum increase, that count as a
 	// regression.
 	ContrastThreshold float64
 	ContrastRatio     float64
@@ -75,7 +80,7 @@
 	Step       float64
 	// MinErrors is the number of errors of the new version below which deviations say little.
 	MinErrors int
-	// Contrast and ContrastDeviations are the same as Sum and Deviations for declined requests.
+	// Contrast and ContrastDeviations are the same as Sum and Deviations for declined or rejected requests.
 	Contrast           float64
 	ContrastDeviations float64
 }
@@ -101,6 +106,7 @@
 	Errors   Regression = "errors"
 	Slow     Regression = "latency"
 	Declined Regression = "declined requests"
+	Rejected Regression = "rejected requests"
 )
 
 // Detector compares the versions on one route. It is not safe for concurrent use.
@@ -112,6 +118,7 @@
 	excess      excess
 	surplus     surplus
 	declined    contrast
+	rejected    contrast
 	newRequests int
 }
 
@@ -124,6 +131,7 @@
 		muchSlower: series{ratio: opts.MuchSlowerRatio, step: opts.MuchSlowerStep, threshold: opts.MuchSlowerThreshold},
 		excess:     excess{ratio: opts.ExcessRatio, step: opts.ExcessStep, threshold: opts.ExcessThreshold},
 		declined:   newContrast(opts),
+		rejected:   newContrast(opts),
 	}
 }
 
@@ -137,11 +145,14 @@
 	slow := d.slow.observe(old.Requests-old.Errors, old.Slow, next.Requests-next.Errors, next.Slow)
 	much := d.muchSlower.observe(old.Requests-old.Errors, old.Slow, next.Requests-next.Errors, next.Slow)
 	declined := d.declined.observe(old.Requests, old.Declined, next.Requests, next.Declined)
+	rejected := d.rejected.observe(old.Sent(), old.Rejected, next.Sent(), next.Rejected)
 	switch {
 	case errs || excess:
 		return Errors
 	case declined:
 		return Declined
+	case rejected:
+		return Rejected
 	case slow || much:
 		return Slow
 	}
@@ -151,11 +162,11 @@
 // NewRequests returns the number of requests to the new version so far.
 func (d *Detector) NewRequests() int { return d.newRequests }
 
-// IsDoubtful reports whether chance would seldom let the new version fail or decline as often as it did. Too little
+// IsDoubtful reports whether chance would seldom let the new version fail, decline or reject as often as it did. Too little
 // is known for a decision.
 func (d *Detector) IsDoubtful() bool { return d.reaches(d.opts.Doubt) }
 
-// IsSuspected reports whether the new version probably fails or declines more often, though too little is known
+// IsSuspected reports whether the new version probably fails, declines or rejects more often, though too little is known
 // to report it.
 func (d *Detector) IsSuspected() bool { return d.reaches(d.opts.Suspicion) }
 
@@ -169,7 +180,7 @@
 func (d *Detector) IsSlower() bool { return d.muchSlower.sum >= d.opts.MuchSlowerThreshold/2 }
 
 func (d *Detector) reaches(l Level) bool {
-	if d.declined.reaches(l) {
+	if d.declined.reaches(l) || d.rejected.reaches(l) {
 		return true
 	}
 	return d.excess.sum >= l.Sum || d.surplus.next.Errors >= l.MinErrors && d.surplus.isSignificant(l.Deviations, l.Step)
--- a/decide/mover/handover.go
+++ b/decide/mover/handover.go
@@ -188,7 +188,7 @@
 		}
 		planned += float64(s.Share) / allCalls * rate * max(seconds(end-max(now, m.at(s.From))), 0)
 	}
-	left := before - float64(m.total.New.Requests)
+	left := before - float64(m.total.New.Sent())
 	if planned <= 0 {
 		return 1
 	}
--- a/entry/shifter/trial.go
+++ b/entry/shifter/trial.go
@@ -34,6 +34,8 @@
 		c.Errors = 1
 	case result == sequoiasill.VersionDeclined:
 		c.Declined = 1
+	case result == sequoiasill.VersionRejected:
+		c = detector.Counts{Rejected: 1}
 	case slow:
 		c.Slow = 1
 	}
--- a/move.go
+++ b/move.go
@@ -27,11 +27,12 @@
 // VersionResult is what the result of a call tells of the version that it was sent to.
 type VersionResult int
 
-// The results. Whether a version declines calls that it should serve shows only by comparison with another version.
+// The results. Whether a version declines or rejects calls that it should serve shows only by comparison with another version.
 const (
 	VersionServed   VersionResult = iota // answered with success, or begun to
 	VersionFailed                        // failed, or not answered
 	VersionDeclined                      // answered with a status of 3xx or 4xx
+	VersionRejected                      // not run, though the upstream had room
 )
 
 // String returns the name of the result.
@@ -43,6 +44,8 @@
 		return "failed"
 	case VersionDeclined:
 		return "declined"
+	case VersionRejected:
+		return "rejected"
 	}
 	return "unknown"
 }
--- a/relay/dispatcher/attempt.go
+++ b/relay/dispatcher/attempt.go
@@ -57,6 +57,7 @@
 	offering         bool                      // the call is being offered to other entries; guarded by the dispatcher's lock
 	maybeSent        bool                      // part of the request may have been sent
 	result           sequoiasill.VersionResult // of an answer that is delivered
+	hadRoom          bool                      // the upstream rejected the call though it had room
 	cancel           context.CancelCauseFunc
 }
 
@@ -167,6 +168,8 @@
 		t.recordForMove(sequoiasill.VersionFailed, took)
 	case outcome == registrar.Succeeded && t.timeToFirstEvent == 0:
 		t.recordForMove(t.result, took)
+	case outcome == registrar.Refused:
+		t.recordRejection(took)
 	}
 	if !t.d.log.IsInfo() {
 		return
@@ -185,6 +188,30 @@
 	}, args...)...)
 }
 
+// recordRejection adds a rejection to the evaluation of the version, unless the upstream was full. A call that one
+// upstream of a version has rejected is not sent to another one of it if it has a choice.
+func (t *try) recordRejection(took sequoiasill.Millis) {
+	if t.relay {
+		return
+	}
+	t.rejectedBy = t.choice.Replica.Version
+	if t.hadRoom {
+		t.recordForMove(sequoiasill.VersionRejected, took)
+	}
+}
+
+// hasRoom reports whether a response that rejects a call tells that its upstream could have run it.
+func hasRoom(a *Response) bool {
+	if a.Misdirected || a.Draining || a.Pause > 0 || a.ColdFor > 0 || a.Limit.Limited || !a.HasLoad {
+		return false
+	}
+	return a.Load.Waiting == 0 && a.Load.Running < a.Load.Slots/roomFraction
+}
+
+// roomFraction is the part of its slots, as a divisor, up to which an upstream certainly has room. One that runs out of
+// memory may reject calls before its slots are taken.
+const roomFraction = 2
+
 // recordForMove adds the result of the attempt to the evaluation of the version. A stream
 // is recorded at its first event, and again if it is interrupted. The entry that serves a relayed
 // call records it.
@@ -307,6 +334,7 @@
 	case a.Refused || a.Misdirected:
 		timer.stop()
 		t.refusals++
+		t.hadRoom = hasRoom(a)
 		a.Close(readRefusal(a.Body))
 		e := classifier.End{Kind: classifier.Refused, Pause: a.Pause}
 		return t.conclude(e, "refused by upstream", "upstreams are full", "status", a.Status, "pause", a.Pause)
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -49,6 +49,7 @@
 	arrivalsElsewhere int
 	runs              int // those that may have run it
 	refusals          int
+	rejectedBy        string      // version of the upstream that last rejected the call, empty if none did
 	denials           int         // permits denied by rate limits
 	retryDenied       bool        // the retry budget was exhausted at the last check
 	usageCounted      bool        // the call is in its organisation's usage
@@ -244,7 +245,7 @@
 }
 
 // candidatesForVersion returns the candidates of the version that the call is assigned to. If it has
-// no untried upstream, the call falls back to the other versions, but never to the target of a move
+// no untried upstream, or has rejected the call, the call falls back to the other versions, but never to the target of a move
 // nor to a version that was rejected before.
 func (d *Dispatcher) candidatesForVersion(j *job, candidates []registrar.Candidate) []registrar.Candidate {
 	a := d.moves.Assign(j.service, j.call.ID)
@@ -264,7 +265,10 @@
 			others = append(others, c)
 		}
 	}
-	if slices.ContainsFunc(onAssigned, func(c registrar.Candidate) bool { return !j.tried[c.Replica.Name] }) {
+	isUntried := func(c registrar.Candidate) bool { return !j.tried[c.Replica.Name] }
+	// What one upstream of the target rejected, another one would probably reject too.
+	rejected := a.ToTarget && j.rejectedBy == a.Target && slices.ContainsFunc(others, isUntried)
+	if !rejected && slices.ContainsFunc(onAssigned, isUntried) {
 		return onAssigned
 	}
 	return others
--- a/relay/dispatcher/versions_test.go
+++ b/relay/dispatcher/versions_test.go
@@ -15,6 +15,8 @@
 // for that version.
 func TestVersionDuringAMove(t *testing.T) {
 	good, bad := step{status: 200, body: "good"}, step{status: 500, body: "bad"}
+	roomy := step{status: 503, refused: true, load: &registrar.Load{Running: 1, Slots: 4}}
+	full := step{status: 503, refused: true, load: &registrar.Load{Running: 4, Waiting: 2, Slots: 4}}
 	tests := map[string]struct {
 		toTarget     bool
 		newUpstreams int // upstreams of the new version
@@ -29,6 +31,11 @@
 			[]string{"plain read v2 failed", "plain read v1 served"}},
 		"the new version declines":  {true, 1, []step{{status: 404, body: "none"}}, []string{"v2"}, []string{"plain read v2 declined"}},
 		"the new version redirects": {true, 1, []step{{status: 302}}, []string{"v2"}, []string{"plain read v2 declined"}},
+		"the new version rejects with room": {true, 2, []step{roomy, good}, []string{"v2", "v1"},
+			[]string{"plain read v2 rejected", "plain read v1 served"}},
+		"the new version is full": {true, 2, []step{full, good}, []string{"v2", "v1"}, []string{"plain read v1 served"}},
+		"the old version rejects with room": {false, 1, []step{roomy, good}, []string{"v1", "v1"},
+			[]string{"plain read v1 rejected", "plain read v1 served"}},
 		"the old version failed": {false, 1, []step{bad, bad}, []string{"v1", "v1"},
 			[]string{"plain read v1 failed", "plain read v1 failed"}},
 	}
--- a/relay/roller/exposure_test.go
+++ b/relay/roller/exposure_test.go
@@ -1,12 +1,14 @@
 package roller
 
 import (
-	"cmp"
+	stdcmp "cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"sequoiasill.dev/sequoiasill"
 	"sequoiasill.dev/sequoiasill/decide/detector"
 	"sequoiasill.dev/sequoiasill/decide/mover"
@@ -28,6 +30,7 @@
 	others   float64                   // share of all other responses that are failures
 	result   sequoiasill.VersionResult // of what the new version fails, VersionFailed if it is VersionServed
 	declined map[string]float64        // share of both versions' responses that are declined, by route
+	rejected float64                   // share of all other requests that are rejected
 	burst    [2]float64                // fractions of the duration between which callers' requests of all routes are declined
 	duration sequoiasill.Millis
 	badFrom  float64            // fraction of the duration from which the new version fails
@@ -60,7 +63,7 @@
 		if now%sequoiasill.MillisOf(evaluateInterval) != 0 {
 			continue
 		}
-		switch a := m.Step(now, mover.Evidence{Routes: previous, DrainTime: cmp.Or(s.drain, 40)}).(type) {
+		switch a := m.Step(now, mover.Evidence{Routes: previous, DrainTime: stdcmp.Or(s.drain, 40)}).(type) {
 		case mover.SetShare:
 			s.share = a.Share
 		case mover.Finish:
@@ -80,21 +83,27 @@
 // request sends a request to one of the versions and adds its outcome to the sample.
 func (s *simulation) request(now sequoiasill.Millis, route string, sample mover.Sample) mover.Sample {
 	toNew := s.rand.IntN(1000) < s.share
-	at := float64(now) / float64(s.duration)
+	at, rate, result := float64(now)/float64(s.duration), s.others, sequoiasill.VersionFailed
+	if toNew && at >= s.badFrom && s.failures[route] > rate {
+		rate, result = s.failures[route], stdcmp.Or(s.result, result)
+	}
 	c := detector.Counts{Requests: 1}
 	bad := 0
 	switch {
-	case toNew && at >= s.badFrom && s.rand.Float64() < s.failures[route]:
+	case s.rand.Float64() < rate:
 		bad = 1
-		switch s.result {
+		switch result {
 		case sequoiasill.VersionDeclined:
 			c.Declined = 1
+		case sequoiasill.VersionRejected:
+			c = detector.Counts{Rejected: 1}
+			sample.Old = sample.Old.Add(detector.Counts{Requests: 1})
 		default:
 			c.Errors = 1
 		}
-	case s.rand.Float64() < s.others:
-		c.Errors = 1
-	case s.rand.Float64() < s.declined[route] || at >= s.burst[0] && at < s.burst[1]:
+	case s.rejected > 0 && s.rand.Float64() < s.rejected:
+		c = detector.Counts{Rejected: 1}
+	case at >= s.burst[0] && at < s.burst[1] || s.declined[route] > 0 && s.rand.Float64() < s.declined[route]:
 		c.Declined = 1
 	}
 	if now < s.duration {
@@ -289,6 +298,11 @@
 	checkResults(t, sequoiasill.VersionDeclined)
 }
 
+// Guards against EXPOSURE: a version that rejected all requests of a route was completed (review/12).
+func TestVersionThatRejectsRequestsIsRolledBack(t *testing.T) {
+	checkResults(t, sequoiasill.VersionRejected)
+}
+
 // checkResults runs simulations of versions that serve a part of their requests with a result.
 func checkResults(t *testing.T, result sequoiasill.VersionResult) {
 	t.Helper()
@@ -323,6 +337,37 @@
 	}
 }
 
+// A good version is completed, also if both versions reject requests.
+func TestGoodVersionOfARejectingServiceIsCompleted(t *testing.T) {
+	const runs = 200
+	done := 0
+	for seed := range uint64(runs) {
+		s := &simulation{rates: siteLoad(), rejected: 0.1, duration: 40 * sequoiasill.Second}
+		if s.run(seed) == sequoiasill.MoveDone && s.endedAt <= s.duration {
+			done++
+		}
+	}
+	if done*100 < goal*runs {
+		t.Errorf("%d of %d good versions were completed, want 99%%", done, runs)
+	}
+}
+
+// A version that nobody got an answer from is not completed.
+func TestVersionWithoutAnswersIsNotCompleted(t *testing.T) {
+	m := order{Rollout: sequoiasill.Rollout{Service: "s", Target: "v2", Duration: 40_000}}.move()
+	v := mover.New(m, 0, DefaultOptions(mover.Exposure{}))
+	end := sequoiasill.MoveOpen
+	for now := m.Start; now < m.Until && end == sequoiasill.MoveOpen; now += sequoiasill.MillisOf(evaluateInterval) {
+		served := mover.Sample{Old: detector.Counts{Requests: 20}}
+		if f, ok := v.Step(now, mover.Evidence{Routes: map[string]mover.Sample{"r": served}, DrainTime: 40}).(mover.Finish); ok {
+			end = f.End
+		}
+	}
+	if diff := cmp.Diff(sequoiasill.MoveRolledBack, end); diff != "" {
+		t.Errorf("end (-want +got):\n%s", diff)
+	}
+}
+
 // A good version is completed, also if callers make mistakes: both versions decline their requests.
 func TestGoodVersionIsCompletedThoughCallersMakeMistakes(t *testing.T) {
 	const runs = 200
--- a/relay/roller/roller.go
+++ b/relay/roller/roller.go
@@ -38,12 +38,12 @@
 )
 
 // DefaultOptions returns the options of moves ordered by operators. A faulty version may receive a limited number of
-// calls up to the deadline: the stages before the handover add up to 9 per cent of them, most of it at shares where
-// faults that occur under load are detected within a second, and are cut down to what the limit leaves. Services may
-// have little traffic, and a rarely used route must not end a move.
+// calls up to the deadline, so the stages before the handover are cut down to what the limit leaves. Most of it is spent
+// in the last stage, at shares where faults that occur under load or begin late are detected within a second. Services
+// may have little traffic, and a rarely used route must not end a move.
 func DefaultOptions(x mover.Exposure) mover.Options {
 	o := mover.DefaultOptions()
-	o.Stages = []mover.Stage{{From: 0, Share: 0}, {From: 20, Share: 50}, {From: 450, Share: 100}, {From: 600, Share: 250}}
+	o.Stages = []mover.Stage{{From: 0, Share: 0}, {From: 20, Share: 40}, {From: 400, Share: 60}, {From: 600, Share: 150}, {From: 780, Share: 300}}
 	o.Handover = &mover.Handover{Exposure: x, LongShare: 950, MaxTime: 170}
 	o.EndAt, o.DecideAt = 995, 1000
 	o.MinRequests, o.MinPerRoute, o.MinShare = 40, 0, 50
