--- a/relay/exchanger/facts.go
+++ b/relay/exchanger/facts.go
@@ -73,7 +73,7 @@
 	case f.Key == keyConfig:
 		e.noteConfigVersion(f.Version, string(f.Value))
 	case strings.HasPrefix(f.Key, keyHeartbeat):
-		e.vigil.heard(strings.TrimPrefix(f.Key, keyHeartbeat), e.clock.Now())
+		e.vigil.heard(strings.TrimPrefix(f.Key, keyHeartbeat), e.bootClock.Now())
 	case strings.HasPrefix(f.Key, keyReplica):
 		e.handleReplica(strings.TrimPrefix(f.Key, keyReplica), f)
 	case strings.HasPrefix(f.Key, keyDraining):
--- a/relay/exchanger/roster.go
+++ b/relay/exchanger/roster.go
@@ -75,7 +75,7 @@
 
 // refreshTiers determines the tiers again if they are old.
 func (e *Exchanger) refreshTiers() {
-	v, now := &e.vigil, e.clock.Now()
+	v, now := &e.vigil, e.bootClock.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.tiers == nil || now-v.tiersAt >= tiersTTL || now < v.tiersAt {
--- a/relay/exchanger/vigil.go
+++ b/relay/exchanger/vigil.go
@@ -45,7 +45,7 @@
 
 // vigil is what an entry knows of who watches the store. Watchers that the store answers say so in heartbeats. The other
 // entries are the watchers' deputies, in tiers: each tier watches while all lower ones are silent, whether they have
-// ended, stand still, are cut off or get no answers.
+// ended, stand still, are cut off or get no answers. Its times are those of the boot clock.
 type vigil struct {
 	mu         sync.Mutex
 	tiers      [][]string // names of the entries by tier, the watchers first
@@ -107,7 +107,7 @@
 // keepVigil checks whether the store is watched, and pings the store if that is in doubt.
 func (e *Exchanger) keepVigil() {
 	e.refreshTiers()
-	v, now := &e.vigil, e.clock.Now()
+	v, now := &e.vigil, e.bootClock.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	tier, place := v.position(e.opts.Name)
@@ -158,7 +158,7 @@
 	tier, _ := v.position(e.opts.Name)
 	relist := v.unanswered && v.watches(tier)
 	v.unanswered = false
-	if tier > 0 && !v.active && v.isSilent(tier, e.clock.Now()) {
+	if tier > 0 && !v.active && v.isSilent(tier, e.bootClock.Now()) {
 		e.setActive(true)
 	}
 	v.mu.Unlock()
@@ -189,7 +189,7 @@
 	if e.isAway() || !e.store.IsFollowed() {
 		return
 	}
-	v, now := &e.vigil, e.clock.Now()
+	v, now := &e.vigil, e.bootClock.Now()
 	v.mu.Lock()
 	tier, _ := v.position(e.opts.Name)
 	due := v.watches(tier) && v.sinceHeartbeat(tier, now) >= heartbeatInterval
