A handover of long calls begins at half the share, and does not end on failures

A move whose handover failures kept from ending is rolled back; it was completed before, with calls in progress at the old version.

Its simulation sorts the routes once.

--- a/decide/mover/handover.go
+++ b/decide/mover/handover.go
@@ -10,8 +10,8 @@
 type Handover struct {
 	// Exposure limits the requests to a bad version.
 	Exposure Exposure
-	// LongShare is the share, in thousandths, that the new version gets while calls that last long end at the old one.
-	// It gets all calls in the last part of the handover.
+	// LongShare is the share, in thousandths, that the new version gets while calls that last long end at the old one,
+	// and half of it at first. It gets all calls in the last part of the handover.
 	LongShare int
 	// MaxTime is the fraction of the time up to the deadline, in thousandths, that the handover takes at most, and
 	// does if it is not known how long calls last.
@@ -58,6 +58,7 @@
 	drainTime  sequoiasill.Millis
 	observedAt sequoiasill.Millis
 	rate       float64            // recent requests in a second to both versions
+	begunAt    sequoiasill.Millis // when the handover began, 0 if it has not
 	since      sequoiasill.Millis // when the share of the last part was first requested, 0 if it is not
 	pace       float64            // fraction of the stages' shares that the exposure allows
 	plannedAt  int                // elapsed time, in thousandths, at which the pace was planned
@@ -112,25 +113,34 @@
 
 func isDoubtful(d *detector.Detector) bool { return d.IsDoubtful() || d.IsSlower() }
 
-// isHandedOver reports whether the calls that began at the old version have ended and the new version shows no failures
-// under the whole load, or time is up.
-func (m *Mover) isHandedOver(now sequoiasill.Millis) bool {
-	if now >= m.doubtUntil()+m.lastPart()+overtime {
-		return true
+// endHandover ends the move if the calls that began at the old version have ended and the new version shows no failures
+// under the whole load, or if time is up.
+func (m *Mover) endHandover(now sequoiasill.Millis) {
+	since, timeIsUp := m.handover.since, now >= m.doubtUntil()+m.lastPart()+overtime
+	switch {
+	case since == 0 && timeIsUp:
+		m.setEnd(sequoiasill.MoveRolledBack, "failures of the new version kept its share from rising")
+	case since > 0 && (timeIsUp || now-since >= m.lastPart() && m.routeWhere(isRisky) == ""):
+		m.setEnd(sequoiasill.MoveDone, "no badness seen")
 	}
-	return m.handover.since > 0 && now-m.handover.since >= m.lastPart() && m.routeWhere(isRisky) == ""
 }
 
 // handoverShare returns the share of a move with a handover.
 func (m *Mover) handoverShare(now sequoiasill.Millis) int {
 	switch {
 	case !m.mayHandOver(now):
-		m.handover.since = 0
+		m.handover.begunAt, m.handover.since = 0, 0
 		return m.pacedShare(now)
-	case m.handover.since == 0 && now < m.at(m.opts.EndAt)-m.lastPart():
-		return m.opts.Handover.LongShare
-	case m.handover.since == 0:
+	case m.handover.begunAt == 0:
+		m.handover.begunAt = now
+	}
+	switch {
+	case m.handover.since == 0 && now >= m.at(m.opts.EndAt)-m.lastPart():
 		m.handover.since = now
+	case m.handover.since == 0 && now-m.handover.begunAt < reactionTime:
+		return m.opts.Handover.LongShare / 2
+	case m.handover.since == 0:
+		return m.opts.Handover.LongShare
 	}
 	return allCalls
 }
--- a/decide/mover/mover.go
+++ b/decide/mover/mover.go
@@ -252,7 +252,8 @@
 			return
 		}
 	}
-	if m.opts.Handover != nil && !m.isHandedOver(now) {
+	if m.opts.Handover != nil {
+		m.endHandover(now)
 		return
 	}
 	m.setEnd(sequoiasill.MoveDone, "no badness seen")
--- a/relay/roller/exposure_test.go
+++ b/relay/roller/exposure_test.go
@@ -54,8 +54,9 @@
 	m := mover.New(order{Rollout: sequoiasill.Rollout{Service: "s", Target: "v2", Duration: s.duration}}.move(), 0, DefaultOptions(mover.Exposure{Share: exposureShare, Slack: exposureSlack}))
 	var end sequoiasill.MoveEnd
 	current, previous := map[string]mover.Sample{}, map[string]mover.Sample{}
+	routes := slices.Sorted(maps.Keys(s.rates))
 	for now := sequoiasill.Millis(0); now < s.duration+2*rollbackTime; now += step {
-		for _, route := range slices.Sorted(maps.Keys(s.rates)) {
+		for _, route := range routes {
 			if s.rand.Float64() < s.rates[route]*float64(step)/float64(sequoiasill.Second) {
 				current[route] = s.request(now, route, current[route])
 			}
@@ -239,22 +240,25 @@
 		failures map[string]float64
 		// A version that turns bad as its move ends is not rolled back. What it gets up to the deadline is limited.
 		ended bool
+		drain sequoiasill.Millis
 	}{
-		"all requests of 40 s":            {40_000, []float64{0.5, 0.7, 0.79, 0.85, 0.9, 0.92}, all, false},
-		"all requests of a minute":        {60_000, []float64{0.5, 0.79, 0.85, 0.9, 0.94}, all, false},
-		"all requests of 20 s":            {20_000, []float64{0.5, 0.79, 0.85}, all, false},
-		"each third request of 40 s":      {40_000, []float64{0.5, 0.79, 0.85, 0.9}, map[string]float64{"lodge": 0.34, "status": 0.34}, false},
-		"one route of 40 s":               {40_000, []float64{0.5, 0.79, 0.85, 0.9}, map[string]float64{"status": 1}, false},
-		"all requests at the end of 40 s": {40_000, []float64{0.94, 0.96, 0.98}, all, true},
-		"all requests at the end of 60 s": {60_000, []float64{0.96, 0.98}, all, true},
-		"each third request as 40 s end":  {40_000, []float64{0.92, 0.94, 0.96}, map[string]float64{"lodge": 0.34, "status": 0.34}, true},
+		"all requests of 40 s":               {40_000, []float64{0.5, 0.7, 0.79, 0.85, 0.9, 0.92}, all, false, 0},
+		"all requests of a minute":           {60_000, []float64{0.5, 0.79, 0.85, 0.9, 0.94}, all, false, 0},
+		"all requests of 20 s":               {20_000, []float64{0.5, 0.79, 0.85}, all, false, 0},
+		"each third request of 40 s":         {40_000, []float64{0.5, 0.79, 0.85, 0.9}, map[string]float64{"lodge": 0.34, "status": 0.34}, false, 0},
+		"one route of 40 s":                  {40_000, []float64{0.5, 0.79, 0.85, 0.9}, map[string]float64{"status": 1}, false, 0},
+		"all requests at the end of 40 s":    {40_000, []float64{0.94, 0.96, 0.98}, all, true, 0},
+		"all requests at the end of 60 s":    {60_000, []float64{0.96, 0.98}, all, true, 0},
+		"calls of 3 s, all requests of 40 s": {40_000, []float64{0.5, 0.79, 0.85}, all, false, 3000},
+		"calls of 3 s, all requests of 60 s": {60_000, []float64{0.5, 0.79, 0.85, 0.9}, all, false, 3000},
+		"each third request as 40 s end":     {40_000, []float64{0.92, 0.94, 0.96}, map[string]float64{"lodge": 0.34, "status": 0.34}, true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for _, from := range tc.from {
 				held := 0
 				for seed := range uint64(runs) {
-					s := &simulation{rates: siteLoad(), failures: tc.failures, others: 0.002, duration: tc.duration, badFrom: from}
+					s := &simulation{rates: siteLoad(), failures: tc.failures, others: 0.002, duration: tc.duration, badFrom: from, drain: tc.drain}
 					s.run(seed)
 					if tc.ended {
 						s.late = 0
