--- a/decide/mover/handover.go
+++ b/decide/mover/handover.go
@@ -34,7 +34,7 @@
 	// doubtTime is the time for which doubts delay the end of a move, limited to a fraction of what is left from the
 	// deadline up to the end of the move's time.
 	doubtTime        = 750 * sequoiasill.Millis(1)
-	doubtTimeDivisor = 2
+	doubtTimeDivisor = 3
 	// overtime is the time after a late handover in which a move ends in any case.
 	overtime = 500 * sequoiasill.Millis(1)
 	// drainTimeFactor is the multiple of the drain time that is allowed for the last calls.
--- a/relay/roller/exposure_test.go
+++ b/relay/roller/exposure_test.go
@@ -232,7 +232,11 @@
 
 // Guards against EXPOSURE: a version that turned bad late in its move had had most of the requests by then (review/15).
 func TestVersionThatTurnsBadLateStaysWithinTheLimits(t *testing.T) {
-	const runs = 200
+	const (
+		runs = 200
+		// The end of a move must be recorded before its time is over.
+		recordTime = 300
+	)
 	all := map[string]float64{"lodge": 1, "status": 1}
 	for name, tc := range map[string]struct {
 		duration sequoiasill.Millis
@@ -249,6 +253,7 @@
 		"one route of 40 s":                  {40_000, []float64{0.5, 0.79, 0.85, 0.9}, map[string]float64{"status": 1}, false, 0},
 		"all requests at the end of 40 s":    {40_000, []float64{0.94, 0.96, 0.98}, all, true, 0},
 		"all requests at the end of 60 s":    {60_000, []float64{0.96, 0.98}, all, true, 0},
+		"all requests of 10 s":               {10_000, []float64{0.5, 0.7}, all, false, 0},
 		"calls of 3 s, all requests of 40 s": {40_000, []float64{0.5, 0.79, 0.85}, all, false, 3000},
 		"calls of 3 s, all requests of 60 s": {60_000, []float64{0.5, 0.79, 0.85, 0.9}, all, false, 3000},
 		"each third request as 40 s end":     {40_000, []float64{0.92, 0.94, 0.96}, map[string]float64{"lodge": 0.34, "status": 0.34}, true, 0},
@@ -260,6 +265,9 @@
 				for seed := range uint64(runs) {
 					s := &simulation{rates: siteLoad(), failures: tc.failures, others: 0.002, duration: tc.duration, badFrom: from, drain: tc.drain}
 					s.run(seed)
+					if s.endedAt > tc.duration-recordTime {
+						t.Errorf("bad from %.2f of the time, seed %d: the move ends after %s", from, seed, s.endedAt)
+					}
 					if tc.ended {
 						s.late = 0
 					}
