--- a/relay/exchanger/vigil.go
+++ b/relay/exchanger/vigil.go
@@ -17,7 +17,7 @@
 	// heartbeatInterval is the minimum interval between two heartbeats of the watchers together. If none was heard for
 	// pingAfter, the first watcher pings the store, and each further one pingStagger later.
 	heartbeatInterval = 200 * sequoiasill.Millis(1)
-	pingAfter         = 250 * sequoiasill.Millis(1)
+	pingAfter         = 400 * sequoiasill.Millis(1)
 	pingStagger       = 30 * sequoiasill.Millis(1)
 	// heartbeatTTL is how long a heartbeat is kept.
 	heartbeatTTL = 5 * sequoiasill.Second
@@ -32,7 +32,7 @@
 // silenceLimits are the times without a heartbeat after which the next tier watches in place of the one that was heard
 // last, the tier after it, and so on; each further tier takes silenceStep longer. A change must be in force everywhere
 // within 2 s of being stored, whichever tiers are silent. The steps give a tier the time for its first heartbeat.
-var silenceLimits = []sequoiasill.Millis{750, 1000, 1200, 1350}
+var silenceLimits = []sequoiasill.Millis{900, 1150, 1300, 1400}
 
 const silenceStep = 50 * sequoiasill.Millis(1)
 
