Heartbeats are pushed twice; the drain time is kept between evaluations

Found on reading the change: TestDeputiesWatchWhileAllWatchersAreSilent failed in 4 of 10 runs of its case "two of three". Heartbeats were pushed once, which a member may miss, and since pings follow 0.4 s of silence one that is missed makes a deputy watch.

The drain time merged histograms at each Reports, which the duties call for each upstream; it is computed once an evaluation. The boot clock never goes back, so the tiers need no check for that.

--- a/decide/gossiper/dissemination.go
+++ b/decide/gossiper/dissemination.go
@@ -181,6 +181,7 @@
 	g.actions = append(g.actions, FactReceived{Fact: f})
 	if g.isHeartbeat(f.Key) {
 		g.pushFact(f)
+		g.repushes = append(g.repushes, f)
 		return
 	}
 	g.enqueue(f.Key, u)
--- a/decide/gossiper/gossiper.go
+++ b/decide/gossiper/gossiper.go
@@ -85,7 +85,7 @@
 	MaxPacketBytes      int
 	SeedInterval        sequoiasill.Millis // interval of messages to seeds that are unknown or dead
 	// HeartbeatPrefix begins the keys of facts of which a newer one follows soon: a member pushes each version
-	// once and leaves them out of probes and comparisons. With "" there are none.
+	// twice, as urgent facts, and leaves them out of probes and comparisons. With "" there are none.
 	HeartbeatPrefix string
 }
 
--- a/entry/shifter/latencies.go
+++ b/entry/shifter/latencies.go
@@ -27,6 +27,7 @@
 	routes     map[string]*hdrhistogram.WindowedHistogram
 	thresholds map[string]int64                // microseconds above which a request is slow, by route
 	durations  *hdrhistogram.WindowedHistogram // of whole calls on all routes
+	drainTime  sequoiasill.Millis              // within which nearly all calls end, 0 if it is not known
 	refreshes  int
 }
 
@@ -58,15 +59,6 @@
 	return h.Current.RecordValue(min(max(micros, 1), maxMicros))
 }
 
-// drainTime returns the time within which nearly all calls end, or 0 if it is not known.
-func (l *latencies) drainTime() sequoiasill.Millis {
-	merged := l.durations.Merge()
-	if merged.TotalCount() < minLatencies {
-		return 0
-	}
-	return sequoiasill.Millis(merged.ValueAtQuantile(drainPercentile)/microsPerMilli) + 1
-}
-
 // isSlow reports whether a latency exceeds the threshold of its route.
 func (l *latencies) isSlow(route string, micros int64) bool {
 	threshold := l.thresholds[route]
@@ -84,12 +76,10 @@
 	return sequoiasill.Millis(merged.ValueAtQuantile(slowPercentile) / microsPerMilli), merged.TotalCount() > 0
 }
 
-// refresh updates the thresholds and removes routes without requests in any window.
+// refresh updates the thresholds and the drain time, and removes routes without requests in any window.
 func (l *latencies) refresh() {
 	l.refreshes++
-	if l.refreshes%refreshesPerWindow == 0 {
-		l.durations.Rotate()
-	}
+	l.refreshDrainTime()
 	for route, h := range l.routes {
 		merged := h.Merge()
 		switch {
@@ -105,3 +95,14 @@
 		}
 	}
 }
+
+// refreshDrainTime updates the drain time.
+func (l *latencies) refreshDrainTime() {
+	l.drainTime = 0
+	if merged := l.durations.Merge(); merged.TotalCount() >= minLatencies {
+		l.drainTime = sequoiasill.Millis(merged.ValueAtQuantile(drainPercentile)/microsPerMilli) + 1
+	}
+	if l.refreshes%refreshesPerWindow == 0 {
+		l.durations.Rotate()
+	}
+}
--- a/entry/shifter/shifter.go
+++ b/entry/shifter/shifter.go
@@ -359,7 +359,7 @@
 			Move: m, Status: s.status(m), BrakeReason: s.brakeReason(m), Entries: make(map[string]map[string]mover.Sample),
 		}
 		if l, ok := s.latencies[m.Service]; ok {
-			r.DrainTime = l.drainTime()
+			r.DrainTime = l.drainTime
 		}
 		for entry, e := range s.peerEvidence[m.Name] {
 			if e.order == m.Order || e.order == 0 {
--- a/relay/dispatcher/serve.go
+++ b/relay/dispatcher/serve.go
@@ -245,8 +245,8 @@
 }
 
 // candidatesForVersion returns the candidates of the version that the call is assigned to. If it has
-// no untried upstream, or has rejected the call, the call falls back to the other versions, but never to the target of a move
-// nor to a version that was rejected before.
+// no untried upstream, or has rejected the call, the call falls back to the other versions, but never to
+// the target of a move nor to a version that was rejected before.
 func (d *Dispatcher) candidatesForVersion(j *job, candidates []registrar.Candidate) []registrar.Candidate {
 	a := d.moves.Assign(j.service, j.call.ID)
 	if a.Target == "" {
--- a/relay/exchanger/roster.go
+++ b/relay/exchanger/roster.go
@@ -78,7 +78,7 @@
 	v, now := &e.vigil, e.bootClock.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.tiers == nil || now-v.tiersAt >= tiersTTL || now < v.tiersAt {
+	if v.tiers == nil || now-v.tiersAt >= tiersTTL {
 		v.tiers, v.tiersAt = chooseTiers(e.eligibleWatchers()), now
 	}
 }
